--- /dev/null
+++ b/src/decide.h
@@ -0,0 +1,80 @@
+// The door to the decision module. Tell a Decider its settings, then feed it what happens, each input with the
+// time it happened at; after each batch of inputs, pull decisions with next() until it returns none and carry
+// them out in that order. Inputs only update what is known. Any protocol can stand in front of this.
+#pragma once
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "model/multiget.h"
+#include "model/node.h"
+#include "model/op_type.h"
+#include "model/time.h"
+
+namespace cairnhub {
+
+enum class NodeState { gone, ready, draining };
+
+struct Decision {
+  enum class Kind {
+    send,       // request (a part), node, span (its time-out)
+    cancel,     // request (a part), send_index
+    answer,     // request (a multiget), whole
+    push_back,  // request, span (when to return; 0 = no advice)
+    fail,       // request
+    probe,      // node
+    subscribe,  // to the list's changes
+    wake,       // span, token: call woken(token) then
+  };
+  Kind kind;
+  RequestId request = 0;
+  NodeId node = 0;
+  int send_index = 0;
+  bool whole = false;
+  Time span = 0;
+  std::uint64_t token = 0;
+};
+
+class Decider {
+ public:
+  explicit Decider(std::uint64_t seed);
+  ~Decider();
+  Decider(const Decider&) = delete;
+  Decider& operator=(const Decider&) = delete;
+
+  // Settings, once, before the first input.
+  void set_place(int self, int brokers, int zone);
+  void add_op_type(const OpType& op);
+  void add_tenant(double share, double quota_per_second);
+  void set_layout(int cells, int replicas_in_a_row, int shards, int parts_a_call);
+  void set_send_limits(int sends_a_part, bool second_copies, bool cancel);
+  void set_send_budget(double free, double share, Time window);  // absent: no budget stated
+  void set_pushback(int most_held, bool may_say_when, Time longest_wait, double over_share_importance);
+  void set_drain_grace(Time grace);
+  void set_cold(double cold_from, Time warm_after, double fall_multiple, Time fall_span);
+  void set_list(bool must_subscribe, Time ask_every);
+  void set_timing(Time tick, Time answer_slack);
+
+  // Inputs.
+  void start(Time now);
+  void list_begins(bool complete);  // then list_node for each entry, then list_ends
+  void list_node(Time now, NodeId id, NodeState state, Time started, int cell, int zone, double weight);
+  void list_ends(Time now);
+  void list_failed(Time now);
+  void multiget_arrived(Time now, RequestId id, int op_type, int tenant, float number, int parts,
+                        bool client_retry, Time time_left);
+  void part_arrived(Time now, RequestId id, float number, int shard, double weight);
+  void send_ended(Time now, RequestId part, int send_index, Outcome outcome, Time latency, bool part_over,
+                  const LoadReport& report);
+  void multiget_abandoned(Time now, RequestId id);
+  void woken(Time now, std::uint64_t token);
+
+  std::optional<Decision> next(Time now);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace cairnhub
--- /dev/null
+++ b/src/model/multiget.h
@@ -0,0 +1,75 @@
+// A multiget, its parts, and the sends made for each.
+#pragma once
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "model/node.h"
+#include "model/op_type.h"
+
+namespace cairnhub {
+
+using RequestId = std::uint32_t;
+
+struct Multiget;
+struct Part;
+
+enum class Outcome { ok, error, full, timed_out, connect_failed, reset, cancelled, not_sent };
+
+// True where the outcome proves that the node never ran the part.
+inline bool never_ran(Outcome o) {
+  return o == Outcome::full || o == Outcome::connect_failed || o == Outcome::not_sent;
+}
+
+struct Send {
+  Part* part = nullptr;
+  Node* node = nullptr;
+  std::shared_ptr<Call> call;
+  int index = 0;
+  Time at = 0;
+  int out_before = 0;  // parts of this broker already out at the node
+  bool ended = false;
+  bool cancelled = false;
+  bool overdue = false;
+  Outcome outcome = Outcome::ok;
+};
+
+struct Part {
+  RequestId id = 0;
+  Multiget* multiget = nullptr;
+  int shard = 0;
+  int step = 1;
+  double weight = 0;
+  bool drawn = false;  // asked for; undrawn parts stay unsent
+  bool returned = false;
+  bool over = false;   // no send may follow
+  std::vector<std::unique_ptr<Send>> sends;
+
+  int out() const {
+    int n = 0;
+    for (const auto& s : sends) n += !s->ended;
+    return n;
+  }
+};
+
+enum class Phase { collecting, waiting_second_step, ended };
+
+struct Multiget {
+  RequestId id = 0;
+  OpType* op = nullptr;
+  int tenant = 0;
+  float number = 0;  // shared by the multiget and its parts
+  bool client_retry = false;
+  Time arrived = 0;
+  Time expires = 0;
+  int parts_expected = 0;
+  int step = 1;
+  bool first_step_whole = false;
+  Phase phase = Phase::collecting;
+  bool admitted = false;
+  bool queued = false;     // on the agenda
+  Time woken_at = kNever;  // earliest wake-up already asked for
+  std::vector<std::unique_ptr<Part>> parts;
+};
+
+}  // namespace cairnhub
--- /dev/null
+++ b/src/model/node.h
@@ -0,0 +1,57 @@
+// The one record of a node: what the list says of it, what is out there, and what came back.
+#pragma once
+#include <cstdint>
+#include <deque>
+#include <vector>
+
+#include "model/time.h"
+
+namespace cairnhub {
+
+using NodeId = std::uint64_t;  // opaque; only compared for equality and used to find the record
+
+struct Send;
+
+struct LoadReport {
+  double held = -1;       // requests in hand; below 0 = not reported
+  double busy = -1;       // share of cores busy
+  double service_ms = -1; // recent service time
+};
+
+struct Call {  // parts sent to one node in one turn travel together
+  int parts = 0;
+  int parts_out = 0;
+};
+
+struct Node {
+  NodeId id = 0;
+
+  // The list.
+  bool listed_ready = false;
+  Time away_since = kNever;  // when this broker learned that it drains or is gone
+  Time started = 0;          // latest start; 0 = long past
+  std::uint64_t named_in_list = 0;  // number of the last list that named it
+  int cell = 0;
+  int zone = 0;
+
+  // Out.
+  std::vector<Send*> out;  // oldest first
+  int calls_out = 0;
+  Call* open_call = nullptr;  // the call still being filled this turn
+  std::uint64_t open_turn = 0;
+
+  // Came back.
+  Time last_return = 0;
+  double pace = 0;      // smoothed latency divided by parts out when sent, seconds
+  long paces = 0;       // samples in pace
+  int strikes = 0;      // bad ends since the last good one
+  Time suspect_since = kNever;
+  Time next_trial = 0;
+  Time trial_wait = 0;
+  std::deque<Time> returns;      // good ends, oldest first
+  std::deque<Time> cold_sends;   // sends while it was cold, oldest first
+  LoadReport report;
+  Time report_at = 0;
+};
+
+}  // namespace cairnhub
--- /dev/null
+++ b/src/wirehost/host.cpp
@@ -0,0 +1,189 @@
+#include "wirehost/host.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "wirehost/settings.h"
+
+namespace cairnhub::wire {
+
+namespace {
+
+enum EventCode : std::uint8_t {
+  kInit = 0, kMembership = 1, kArrival = 2, kFirst = 3, kReturned = 4, kAbandoned = 5,
+  kFired = 6, kSampled = 7, kWhisper = 8, kExit = 9, kDirectory = 10, kAbout = 11,
+};
+enum ActionCode : std::uint8_t {
+  kException = 0, kForward = 1, kRetract = 2, kArm = 4, kDeny = 6,
+  kAs = 9, kSoundOut = 10, kGiveUp = 11, kHandIn = 12, kStreamChanges = 13,
+};
+
+Outcome outcome(std::uint16_t code) {
+  switch (code) {
+    case 10: return Outcome::ok;
+    case 20: return Outcome::error;
+    case 30: return Outcome::full;
+    case 40: return Outcome::timed_out;
+    case 50: return Outcome::connect_failed;
+    case 60: return Outcome::reset;
+    case 70: return Outcome::cancelled;
+    case 80: return Outcome::not_sent;
+  }
+  throw WireError("malformed event: result is not a known outcome code");
+}
+
+NodeState node_state(std::uint8_t code) {
+  if (code > 2) throw WireError("malformed entry: lifecycle is not a known state");
+  return code == 1 ? NodeState::ready : code == 2 ? NodeState::draining : NodeState::gone;
+}
+
+}  // namespace
+
+std::string Host::turn(std::string_view frame) {
+  const Batch batch(frame);
+  Reply reply;
+  std::vector<std::uint32_t> touched;  // in the order first named
+  Instance* inst = nullptr;
+  ++batches_;
+  for (std::size_t i = 0; i < batch.records(); ++i) {
+    const Bytes r = batch.record(i);
+    const std::uint8_t code = r.u8(0, "code");
+    if (code == kDirectory) {
+      directories_[r.u32(1, "sheet")] = batch.tail(r, 5, kEntry, "members");
+    } else if (code == kAbout) {
+      const std::uint32_t number = r.u32(1, "broker");
+      inst = &instances_[number];
+      if (inst->last_batch != batches_) touched.push_back(number);
+      inst->last_batch = batches_;
+    } else if (!inst) {
+      throw WireError("malformed event: code comes before any About");
+    } else {
+      event(batch, r, code, *inst);
+    }
+  }
+  for (const std::uint32_t number : touched) {
+    const Instance& in = instances_[number];
+    if (!in.decider) continue;
+    reply.begin(kAs);
+    reply.put(1, number);
+    try {
+      while (const auto d = in.decider->next(batch.now())) act(*d, reply);
+    } catch (const std::exception& e) {
+      reply.begin(kException);
+      reply.put_text(1, e.what());
+    }
+  }
+  return reply.finish();
+}
+
+void Host::event(const Batch& batch, const Bytes& r, std::uint8_t code, Instance& inst) {
+  const Time now = batch.now();
+  if (code == kInit) {
+    inst.decider = std::make_unique<Decider>(r.u64(1, "nonce64"));
+    apply_settings(batch.tail(r, 9, 1, "options"), *inst.decider, inst.report_fields);
+    inst.decider->start(now);
+    return;
+  }
+  if (code > kAbout) throw WireError("malformed event: code is unknown");
+  if (!inst.decider) throw WireError("malformed event: broker has not been started");
+  Decider& d = *inst.decider;
+  switch (code) {
+    case kMembership: list(batch, r, d); break;
+    case kArrival: {
+      const RequestId id = r.u32(1, "txn");
+      const float number = r.f32(9, "ask-no"), amount = r.f32(30, "heft"), shard = r.f32(34, "segment-no");
+      if (std::abs(amount) > 1e6f) throw WireError("malformed event: heft is out of range");
+      if (shard > 1e6f) throw WireError("malformed event: segment-no is out of range");
+      const std::uint16_t flags = r.u16(7, "opts");
+      if (shard < 0) {
+        d.multiget_arrived(now, id, r.u8(21, "tier-class"), r.u16(5, "party"), number,
+                           static_cast<int>(amount), (flags & 2) != 0, r.time(38, "time-budget"));
+      } else {
+        d.part_arrived(now, id, number, static_cast<int>(shard), amount);
+      }
+      break;
+    }
+    case kReturned:
+      d.send_ended(now, r.u32(1, "txn"), r.u8(5, "copy"), outcome(r.u16(12, "result")), r.time(14, "lag"),
+                   r.u8(22, "done-flag") != 0, report(r, 23, inst));
+      break;
+    case kAbandoned: d.multiget_abandoned(now, r.u32(1, "txn")); break;
+    case kFired: d.woken(now, r.u64(1, "name")); break;
+    case kExit: inst.decider.reset(); break;
+    case kFirst: case kSampled: case kWhisper: break;  // streams, probes and messages are not used
+  }
+}
+
+void Host::list(const Batch& batch, const Bytes& r, Decider& d) {
+  const std::uint8_t how = r.u8(5, "how");
+  if (how > 3) throw WireError("malformed event: how is not a known list kind");
+  if (how == 1) return d.list_failed(batch.now());
+  const auto it = directories_.find(r.u32(6, "sheet"));
+  if (it == directories_.end()) throw WireError("malformed event: sheet names no Directory");
+  d.list_begins(how != 2);
+  for (std::size_t at = 0; at < it->second.size(); at += kEntry) {
+    const Bytes e(std::string_view(it->second).substr(at, kEntry), "entry");
+    d.list_node(batch.now(), e.node(0, "node"), node_state(e.u8(6, "lifecycle")), e.time(7, "boot-time"),
+                e.u16(20, "position"), e.u16(22, "az"), e.f32(16, "weight"));
+  }
+  d.list_ends(batch.now());
+}
+
+LoadReport Host::report(const Bytes& r, std::size_t at, const Instance& inst) const {
+  const std::size_t n = r.u8(at, "report");
+  if (n > 4) throw WireError("malformed event: report has more than four values");
+  LoadReport out;
+  for (std::size_t i = 0; i < std::min(n, inst.report_fields.size()); ++i) {
+    const float value = r.f32(at + 1 + 4 * i, "report");
+    const std::string& name = inst.report_fields[i];
+    if (name == "active") out.held = value;
+    if (name == "cpu") out.busy = value;
+    if (name == "avg_ms") out.service_ms = value;
+  }
+  return out;
+}
+
+void Host::act(const Decision& d, Reply& reply) {
+  switch (d.kind) {
+    case Decision::Kind::send:
+      reply.begin(kForward);
+      reply.put(1, d.request);
+      reply.put_node(5, d.node);
+      reply.put(11, seconds(d.span));
+      break;
+    case Decision::Kind::cancel:
+      reply.begin(kRetract);
+      reply.put(1, d.request);
+      reply.put(5, static_cast<std::uint8_t>(d.send_index));
+      break;
+    case Decision::Kind::answer:
+      reply.begin(kHandIn);
+      reply.put(1, d.request);
+      reply.put(5, static_cast<std::uint8_t>(d.whole));
+      break;
+    case Decision::Kind::push_back:
+      reply.begin(kDeny);
+      reply.put(1, d.request);
+      reply.put(5, seconds(d.span));
+      break;
+    case Decision::Kind::fail:
+      reply.begin(kGiveUp);
+      reply.put(1, d.request);
+      break;
+    case Decision::Kind::probe:
+      reply.begin(kSoundOut);
+      reply.put_node(1, d.node);
+      break;
+    case Decision::Kind::subscribe:
+      reply.begin(kStreamChanges);
+      reply.put(1, std::uint8_t{1});
+      break;
+    case Decision::Kind::wake:
+      reply.begin(kArm);
+      reply.put(1, seconds(d.span));
+      reply.put(9, d.token);
+      break;
+  }
+}
+
+}  // namespace cairnhub::wire
--- /dev/null
+++ b/src/wirehost/settings.cpp
@@ -0,0 +1,151 @@
+#include "wirehost/settings.h"
+
+#include <charconv>
+#include <cmath>
+
+#include "wirehost/frame.h"
+
+namespace cairnhub::wire {
+
+namespace {
+
+[[noreturn]] void complain(const std::string& path, const char* trouble) {
+  throw WireError("setting " + path + " " + trouble);
+}
+
+class Settings {
+ public:
+  explicit Settings(std::string_view text) {
+    while (!text.empty()) {
+      const auto end = text.find('\n');
+      const std::string_view line = text.substr(0, end);
+      const auto eq = line.find('=');
+      if (eq != std::string_view::npos) values_[std::string(line.substr(0, eq))] = line.substr(eq + 1);
+      if (end == std::string_view::npos) break;
+      text.remove_prefix(end + 1);
+    }
+  }
+
+  bool has(const std::string& path) const { return values_.count(path) != 0; }
+
+  std::string text(const std::string& path, const char* absent) const {
+    const auto it = values_.find(path);
+    return it == values_.end() ? absent : std::string(it->second);
+  }
+
+  double number(const std::string& path) const {  // needed
+    if (!has(path)) complain(path, "is missing");
+    return parse(path, values_.find(path)->second);
+  }
+  double number(const std::string& path, double absent) const { return has(path) ? number(path) : absent; }
+
+  int whole(const std::string& path, double absent) const { return to_int(path, number(path, absent)); }
+  int whole(const std::string& path) const { return to_int(path, number(path)); }
+
+  Time span(const std::string& path) const { return to_time(path, number(path)); }
+  Time span(const std::string& path, double absent) const { return to_time(path, number(path, absent)); }
+
+  bool flag(const std::string& path, bool absent) const {
+    if (!has(path)) return absent;
+    const std::string v = text(path, "");
+    if (v != "true" && v != "false") complain(path, "is neither true nor false");
+    return v == "true";
+  }
+
+  // The i-th of a comma-joined list.
+  double item(const std::string& path, int i, double absent) const {
+    if (!has(path)) return absent;
+    std::string_view rest = values_.find(path)->second;
+    for (; i > 0; --i) {
+      const auto comma = rest.find(',');
+      if (comma == std::string_view::npos) complain(path, "has too few items");
+      rest.remove_prefix(comma + 1);
+    }
+    return parse(path, rest.substr(0, rest.find(',')));
+  }
+
+ private:
+  static double parse(const std::string& path, std::string_view v) {
+    double out = 0;
+    const auto [end, error] = std::from_chars(v.data(), v.data() + v.size(), out);
+    if (error != std::errc{} || end != v.data() + v.size() || !std::isfinite(out))
+      complain(path, "is not a number");
+    return out;
+  }
+  static int to_int(const std::string& path, double v) {
+    if (std::abs(v) > 1e9) complain(path, "is out of range");
+    return static_cast<int>(v);
+  }
+  static Time to_time(const std::string& path, double v) {
+    if (std::abs(v) > 4e9) complain(path, "is out of range");
+    return static_cast<Time>(std::llround(v * kSecond));
+  }
+
+  std::map<std::string, std::string_view> values_;
+};
+
+OpType read_op_type(const Settings& s, int i) {
+  const std::string at = "classes." + std::to_string(i) + ".";
+  OpType op;
+  const std::string effect = s.text(at + "effect", "free");
+  if (effect == "free") {
+    op.effect = Effect::retriable;
+  } else if (effect == "guarded") {
+    op.effect = Effect::deduped;
+  } else if (effect == "single_shot") {
+    op.effect = Effect::non_retriable;
+  } else {
+    complain(at + "effect", "is not a known effect");
+  }
+  op.latency_budget = s.span(at + "promise");
+  op.route_timeout = s.span(at + "deadline");
+  op.dedupe_window = s.span(at + "memory-span", 0);
+  op.importance = s.number(at + "value", 1);
+  op.late_share = s.number(at + "late-share", 0);
+  op.need = s.item("family-info.need-by-class", i, 1);
+  op.least = s.item("family-info.min-share", i, op.need);
+  op.partial_share = s.item("family-info.class-partial", i, 0);
+  op.second_step_parts = static_cast<int>(s.item("family-info.class-fetch", i, 0));
+  return op;
+}
+
+}  // namespace
+
+void apply_settings(std::string_view text, Decider& decider, std::vector<std::string>& report_fields) {
+  const Settings s(text);
+  decider.set_place(s.whole("self-index", 0), s.whole("balancers", 1), s.whole("zone", 0));
+  const int op_types = s.whole("classes.count");
+  if (op_types < 1 || op_types > 256) complain("classes.count", "is out of range");
+  for (int i = 0; i < op_types; ++i) decider.add_op_type(read_op_type(s, i));
+  const int tenants = s.whole("tenants.count", 0);
+  if (tenants < 0 || tenants > 65536) complain("tenants.count", "is out of range");
+  for (int i = 0; i < tenants; ++i) {
+    const std::string at = "tenants." + std::to_string(i) + ".";
+    decider.add_tenant(s.number(at + "portion", 0), s.number(at + "quota-per-s", 0));
+  }
+  const int cells = s.whole("family-info.positions"), width = s.whole("family-info.width");
+  if (cells < 1 || cells > 65536) complain("family-info.positions", "is out of range");
+  if (width < 1 || width > cells) complain("family-info.width", "is out of range");
+  decider.set_layout(cells, width, s.whole("family-info.ranges", 0), s.whole("family-info.parts-a-call", 1));
+  decider.set_send_limits(s.whole("ceilings.try-limit", 1), s.flag("ceilings.second-copies", false),
+                          s.flag("ceilings.cancel", false));
+  if (s.has("rules.resend-span"))
+    decider.set_send_budget(s.number("rules.budget-free", 0), s.number("rules.extra-ratio", 0),
+                            s.span("rules.resend-span"));
+  decider.set_pushback(s.whole("ceilings.most-held", 1e9), s.flag("ceilings.retry-after", false),
+                       s.span("ceilings.max-retry-after", 0), s.number("over-share-worth", 1));
+  decider.set_drain_grace(s.span("rules.stop-sending-within", 0));
+  decider.set_cold(s.number("rules.cold-from", 1), s.span("rules.cold", 0), s.number("rules.fall-multiple", 1),
+                   s.span("rules.overload-for", 1));
+  decider.set_list(s.text("registry-mode", "automatic") == "subscribe", s.span("rules.ask-every", 10));
+  decider.set_timing(s.span("tick", 0.001), s.span("rules.answer-slack", 0));
+  report_fields.clear();
+  std::string names = s.text("load-info.fields", "");
+  for (std::size_t from = 0; from < names.size();) {
+    const auto comma = std::min(names.find(',', from), names.size());
+    report_fields.push_back(names.substr(from, comma - from));
+    from = comma + 1;
+  }
+}
+
+}  // namespace cairnhub::wire
--- /dev/null
+++ b/tests/story.h
@@ -0,0 +1,99 @@
+// Shared helper: tells a Decider a small story and prints what it decides, for `diff` with a kept trace.
+#pragma once
+#include <algorithm>
+#include <cstdio>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "decide.h"
+
+namespace cairnhub {
+
+constexpr Time kMs = kSecond / 1000;
+
+struct Story {
+  Decider d;
+  Time now = 0;
+  std::multimap<Time, std::uint64_t> wakes;
+  std::map<RequestId, int> sends;  // a part's sends so far
+
+  // One-part multigets need `need` of their parts; one cell holds a shard unless said otherwise.
+  explicit Story(OpType op, int cells = 2, int replicas = 2, int parts_a_call = 1, int send_limit = 3) : d(7) {
+    d.set_place(0, 2, 0);
+    d.add_op_type(op);
+    d.set_layout(cells, replicas, cells, parts_a_call);
+    d.set_send_limits(send_limit, true, true);
+    d.set_pushback(1000, true, kSecond, 0.05);
+    d.set_timing(5 * kMs, 20 * kMs);
+    d.set_cold(0.2, 10 * kSecond, 2, kSecond);
+  }
+  static OpType op(double need = 1, Effect effect = Effect::retriable) {
+    OpType t;
+    t.latency_budget = kSecond, t.route_timeout = 3 * kSecond, t.dedupe_window = 500 * kMs;
+    t.late_share = 0.5, t.need = t.least = need, t.effect = effect;
+    return t;
+  }
+  // Ready nodes 1..count in cells 0.., long started.
+  void nodes(int count, Time started = 0) {
+    d.start(now);
+    d.list_begins(true);
+    for (int i = 0; i < count; ++i) d.list_node(now, i + 1, NodeState::ready, started, i, 0, 1);
+    d.list_ends(now);
+  }
+  void change(NodeId id, NodeState state, Time started = 0) {
+    std::printf("%5lld  list: node %llu %s\n", ms(), id_of(id), state == NodeState::ready ? "ready" : "away");
+    d.list_begins(false);
+    d.list_node(now, id, state, started, static_cast<int>(id) - 1, 0, 1);
+    d.list_ends(now);
+    pull();
+  }
+  // Multiget `id` with parts id*10, id*10+1 .. at these shards.
+  void ask(RequestId id, const std::vector<int>& shards, Time left = 3 * kSecond, bool pull_now = true) {
+    std::printf("%5lld  ask %u\n", ms(), id);
+    const int k = static_cast<int>(shards.size());
+    d.multiget_arrived(now, id, 0, 0, static_cast<float>(id), k, false, left);
+    for (int i = 0; i < k; ++i) d.part_arrived(now, id * 10 + i, static_cast<float>(id), shards[i], 1.0 / k);
+    if (pull_now) pull();
+  }
+  void back(RequestId part, Outcome outcome, Time latency = 100 * kMs, int index = -1) {
+    static const char* names[] = {"ok",    "error",     "full",    "timed out", "connect failed",
+                                  "reset", "cancelled", "not sent"};
+    const int i = index < 0 ? sends[part] - 1 : index;
+    std::printf("%5lld  back %u.%d %s\n", ms(), part, i, names[static_cast<int>(outcome)]);
+    d.send_ended(now, part, i, outcome, latency, outcome == Outcome::ok, {});
+    pull();
+  }
+  void pull() {
+    while (const auto x = d.next(now)) show(*x);
+  }
+  void run_to(long long at_ms) {
+    while (!wakes.empty() && wakes.begin()->first <= at_ms * kMs) {
+      now = std::max(now, wakes.begin()->first);
+      d.woken(now, wakes.begin()->second);
+      wakes.erase(wakes.begin());
+      pull();
+    }
+    now = at_ms * kMs;
+  }
+
+ private:
+  long long ms() const { return now / kMs; }
+  static unsigned long long id_of(NodeId id) { return id; }
+  void show(const Decision& x) {
+    using K = Decision::Kind;
+    if (x.kind == K::wake) {
+      wakes.emplace(now + x.span, x.token);
+      return;
+    }
+    std::printf("%5lld    ", ms());
+    if (x.kind == K::send) std::printf("send %u.%d to node %llu\n", x.request, sends[x.request]++, id_of(x.node));
+    if (x.kind == K::cancel) std::printf("cancel %u.%d\n", x.request, x.send_index);
+    if (x.kind == K::answer) std::printf("answer %u %s\n", x.request, x.whole ? "whole" : "in part");
+    if (x.kind == K::push_back) std::printf("push back %u, come back in %lld\n", x.request, static_cast<long long>(x.span / kMs));
+    if (x.kind == K::fail) std::printf("fail %u\n", x.request);
+    if (x.kind == K::subscribe) std::printf("subscribe\n");
+  }
+};
+
+}  // namespace cairnhub
--- /dev/null
+++ b/tests/traces.cpp
@@ -0,0 +1,193 @@
+// One small story each; CTest diffs what it prints with tests/traces/NAME.txt.
+#include <cstring>
+#include <functional>
+
+#include "story.h"
+
+namespace cairnhub {
+namespace {
+
+void any_k() {  // n = 2 of 4: three drawn, one unsent, answered on the first two, the late surplus cancelled
+  Story s(Story::op(0.5), 4, 2);
+  s.nodes(4);
+  s.ask(1, {0, 1, 2, 3});
+  s.now = 100 * kMs;
+  for (RequestId part = 10; part < 14; ++part)
+    if (s.sends[part]) s.back(part, Outcome::ok);
+}
+
+void fewest_out() {  // three parts of one shard: 1 and 1, then either; the node that answered gets the next
+  Story s(Story::op(), 2, 2);
+  s.nodes(2);
+  s.ask(1, {0});
+  s.ask(2, {0});
+  s.ask(3, {0});
+  s.now = 100 * kMs;
+  s.back(10, Outcome::ok);
+  s.back(20, Outcome::ok);
+  s.ask(4, {0});
+}
+
+void shared_calls() {  // two parts a call: the second joins the first's, the third opens one at the other node
+  Story s(Story::op(), 2, 2, 2);
+  s.nodes(2);
+  s.ask(1, {0, 0, 0});
+}
+
+void no_outcome_ever() {  // rule 1: nothing ever comes back; ended before the client's 1500 ms, nothing sent after
+  Story s(Story::op(), 2, 2);
+  s.nodes(2);
+  s.ask(1, {0}, 1500 * kMs);
+  s.run_to(3000);
+}
+
+void non_retriable() {  // rule 2: re-sent after proof; not after a reset, and then failed, not pushed back
+  Story s(Story::op(1, Effect::non_retriable), 2, 2);
+  s.nodes(2);
+  s.ask(1, {0});
+  s.now = 50 * kMs;
+  s.back(10, Outcome::connect_failed);
+  s.now = 100 * kMs;
+  s.back(10, Outcome::reset);
+  s.ask(2, {0});  // each send proved never to have run: pushed back
+  s.back(20, Outcome::full);
+  s.back(20, Outcome::full);
+  s.run_to(4000);
+}
+
+void deduped() {  // rule 2: a reset part is re-sent inside the 500 ms window, not past it
+  Story s(Story::op(1, Effect::deduped), 2, 2);
+  s.nodes(2);
+  s.ask(1, {0});
+  s.now = 500 * kMs;
+  s.back(10, Outcome::reset);
+  s.now = 510 * kMs;
+  s.back(10, Outcome::error);
+  s.run_to(3500);
+}
+
+void drain() {  // rule 3: nothing new to a draining node; ready again, it is used again
+  Story s(Story::op(), 2, 2);
+  s.nodes(2);
+  s.change(1, NodeState::draining);
+  s.ask(1, {0, 0, 0});
+  s.change(2, NodeState::gone);
+  s.ask(2, {0}, 100 * kMs);
+  s.run_to(200);
+  s.change(1, NodeState::ready);
+  s.ask(3, {0});
+}
+
+void cold_cap() {  // rule 4: the only replica has just started: one part a second, then more as it warms
+  Story s(Story::op(), 1, 1);
+  s.now = kSecond;
+  s.nodes(1, kSecond);
+  s.ask(1, {0, 0, 0});
+  s.now += 300 * kMs;
+  s.back(10, Outcome::ok, 300 * kMs);
+  s.run_to(2100);
+  s.back(11, Outcome::ok, 100 * kMs);
+  s.run_to(3100);
+}
+
+void in_part() {  // rule 5: least half, need all: time up with one of two in, then with none
+  OpType op = Story::op();
+  op.least = 0.5, op.partial_share = 0.9;
+  Story s(op, 2, 1);
+  s.nodes(2);
+  s.ask(1, {0, 1}, 900 * kMs);
+  s.now = 100 * kMs;
+  s.back(10, Outcome::ok);
+  s.run_to(1000);
+  s.ask(2, {0, 1}, 900 * kMs);
+  s.run_to(2000);
+}
+
+void second_step() {  // the first answer brings two more parts; whole only when all of them are in
+  OpType op = Story::op(0.5);
+  op.second_step_parts = 2;
+  Story s(op, 2, 2);
+  s.nodes(2);
+  s.ask(1, {0, 1});
+  s.now = 100 * kMs;
+  s.back(10, Outcome::ok);
+  s.d.part_arrived(s.now, 18, 1, 0, 0.5);
+  s.d.part_arrived(s.now, 19, 1, 1, 0.5);
+  s.pull();
+  s.back(18, Outcome::ok);
+  s.back(19, Outcome::ok);
+}
+
+void send_budget() {  // rule 6: one further send a second is free, shares earn none; the next waits for the window
+  Story s(Story::op(), 3, 3);
+  s.d.set_send_budget(1, 0, kSecond);
+  s.nodes(3);
+  s.ask(1, {0, 0});
+  s.back(10, Outcome::connect_failed);
+  s.back(11, Outcome::connect_failed);
+  s.run_to(1200);
+}
+
+void overdue_undrawn() {  // one of three in, two overdue: the undrawn part comes before a second copy
+  Story s(Story::op(0.5), 4, 2);
+  s.nodes(4);
+  s.ask(1, {0, 1, 2, 3});
+  s.now = 100 * kMs;
+  s.back(10, Outcome::ok);
+  s.run_to(900);
+}
+
+void hang() {  // a silent node is left alone, its part copied, then tried again with one part and trusted again
+  Story s(Story::op(), 2, 2);
+  s.nodes(2);
+  s.ask(1, {0});
+  s.run_to(600);
+  s.back(10, Outcome::ok, 100 * kMs);
+  s.back(10, Outcome::cancelled, 600 * kMs, 0);
+  for (RequestId id = 2; id < 9; ++id) {
+    s.run_to(500 + 200 * id);
+    s.ask(id, {0});
+    s.now += 100 * kMs;
+    s.back(id * 10, Outcome::ok);
+  }
+}
+
+void list_lost() {  // the subscription fails, then drops: asked for again after a wait, longer each time
+  Story s(Story::op(), 2, 2);
+  s.d.set_list(true, 10 * kSecond);
+  s.nodes(2);
+  s.pull();
+  for (int i = 0; i < 3; ++i) {
+    std::printf("       list: failed\n");
+    s.d.list_failed(s.now);
+    s.pull();
+    s.run_to(s.now / kMs + 6000);
+  }
+}
+
+void push_back() {  // slow answers, parts piling up: what can't be in time is turned away and told when to return
+  Story s(Story::op(), 1, 1);
+  s.nodes(1);
+  for (RequestId id = 1; id < 5; ++id) {
+    s.ask(id, {0});
+    s.now += 300 * kMs;
+    s.back(id * 10, Outcome::ok, 300 * kMs);
+  }
+  for (RequestId id = 5; id < 10; ++id) s.ask(id, {0});
+}
+
+}  // namespace
+}  // namespace cairnhub
+
+int main(int argc, char** argv) {
+  using namespace cairnhub;
+  const std::pair<const char*, void (*)()> all[] = {
+      {"any_k", any_k}, {"fewest_out", fewest_out}, {"shared_calls", shared_calls},
+      {"no_outcome_ever", no_outcome_ever}, {"non_retriable", non_retriable}, {"deduped", deduped},
+      {"drain", drain}, {"cold_cap", cold_cap}, {"in_part", in_part}, {"second_step", second_step},
+      {"send_budget", send_budget}, {"overdue_undrawn", overdue_undrawn}, {"hang", hang},
+      {"list_lost", list_lost}, {"push_back", push_back}};
+  for (const auto& [name, story] : all)
+    if (argc > 1 && std::strcmp(argv[1], name) == 0) return story(), 0;
+  return 2;
+}
