--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -399,12 +399,12 @@
 
   // ---- Time ----
 
-  // When an answer stops earning its full importance. A client's later try has less time than a first one; what
-  // is missing from the route timeout then tells how long the client has waited already.
+  // When an answer stops earning its full importance. First tries of an op type all come with the same time; a
+  // later one comes with what its client has left, which tells how long that client has waited already.
   Time budget_ends(const Multiget& mg) const {
     const Time left = mg.expires - mg.arrived;
-    const bool later_try = left < mg.op->longest_try - tick;
-    const Time waited = later_try ? std::max<Time>(0, mg.op->route_timeout - left) : 0;
+    const bool first_try = std::abs(left - mg.op->first_try) <= tick;
+    const Time waited = first_try ? 0 : std::max<Time>(0, mg.op->route_timeout - left);
     return mg.arrived + mg.op->latency_budget - waited;
   }
 
@@ -723,7 +723,11 @@
   mg->id = id, mg->op = &m.op_types[op_type], mg->tenant = tenant, mg->number = number;
   mg->parts_expected = parts, mg->client_retry = client_retry;
   mg->arrived = now, mg->expires = now + time_left;
-  mg->op->longest_try = std::max(mg->op->longest_try, time_left);
+  // A majority vote tells the time that first tries come with: later tries differ, also from each other.
+  if (std::abs(time_left - mg->op->first_try) <= m.tick)
+    ++mg->op->first_try_votes;
+  else if (--mg->op->first_try_votes < 0)
+    mg->op->first_try = time_left, mg->op->first_try_votes = 1;
   ++m.held;
   m.further.taken(now);
   m.by_number[number] = mg.get();
--- a/src/model/op_type.h
+++ b/src/model/op_type.h
@@ -22,7 +22,8 @@
   Time usual = 0;
   Time deviation = 0;
   long samples = 0;
-  Time longest_try = 0;  // longest time a client has given one try
+  Time first_try = 0;  // time that clients give a first try, by majority
+  long first_try_votes = 0;
 };
 
 }  // namespace cairnhub
