--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -42,6 +42,11 @@
 constexpr double kSlowFactor = 3;
 // A suspect is tried again after so many usual latencies, doubling up to so many times that.
 constexpr int kTrialLatencies = 4, kTrialDoublings = 8;
+// Share of a node's sends that come to nothing, smoothed: past the most it is suspect, under half of it cleared.
+// Two bad ends in a row do it, one in four keeps it; sound nodes lose far less than one in a hundred.
+constexpr double kLossGain = 1.0 / 4, kLossMost = 0.3;
+// A send that so many later ones to its node have overtaken isn't queueing there.
+constexpr int kOvertaken = 3;
 // Smoothing of latencies: RFC 6298's eighth and quarter.
 constexpr double kMeanGain = 1.0 / 8, kDeviationGain = 1.0 / 4;
 // Part of the fall limit that one broker lets itself use; the rest is for parts heavier than the average.
@@ -210,21 +215,22 @@
     ++op.samples;
     const double pace = seconds(latency) / (s.out_before + 1);
     n.pace = n.paces++ ? n.pace + kMeanGain * 2 * (pace - n.pace) : pace;
-    n.strikes = 0;
+    if (!s.overdue) n.loss -= kLossGain * n.loss;
+    for (Send* older : n.out)
+      if (older->at < s.at) ++older->overtaken;
     const double peers = median_pace(nodes);
-    if (suspect(n) && pace <= kSlowFactor * 2 / 3 * peers && latency <= overdue_after(op)) {
-      n.suspect_since = kNever;
-      n.pace = pace;
+    if (suspect(n)) {
+      n.next_trial = now, n.trial_wait = kTrialLatencies * op.usual;
+      if (n.loss < kLossMost / 2 && pace <= kSlowFactor * 2 / 3 * peers) n.suspect_since = kNever, n.pace = pace;
     } else if (n.paces > 3 && n.pace > kSlowFactor * peers) {
       suspect_now(n, op.usual, now);
     }
   }
-  void bad(Send& s, Outcome outcome, Time now) {
-    Node& n = *s.node;
-    const bool broken = outcome == Outcome::connect_failed || outcome == Outcome::reset;
-    const bool silent = outcome == Outcome::timed_out && n.last_return <= s.at;
-    if (outcome == Outcome::timed_out && !silent) return;
-    if (++n.strikes >= 2 || broken || silent) suspect_now(n, s.part->multiget->op->usual, now);
+  // A send came to nothing, or looks so. A break or silence says more than a lone error.
+  void bad(Node& n, bool grave, Time usual, Time now) {
+    n.loss += kLossGain * (1 - n.loss);
+    if (grave) n.loss = std::max(n.loss, 0.5);
+    if (n.loss > kLossMost) suspect_now(n, usual, now);
   }
   double median_pace(Nodes& nodes) {
     std::vector<double> paces;
@@ -532,7 +538,9 @@
       for (auto& s : p->sends) {
         if (s->ended || s->overdue || now - s->at < limit) continue;
         s->overdue = true;
-        if (s->node->last_return <= s->at) judge.suspect_now(*s->node, mg.op->usual, now);
+        const bool silent = s->node->last_return <= s->at;
+        s->astray = silent || s->overtaken >= kOvertaken;
+        if (s->astray) judge.bad(*s->node, silent, mg.op->usual, now);
       }
   }
 
@@ -567,7 +575,7 @@
     for (auto& p : mg.parts) {
       if (p->step != mg.step || p->returned || p->sends.empty() || hopeful(*p)) continue;
       const bool merely_slow = std::any_of(p->sends.begin(), p->sends.end(), [&](const auto& s) {
-        return !s->ended && !judge.suspect(*s->node);
+        return !s->ended && !s->astray && !judge.suspect(*s->node);
       });
       Node* n = pick(*p, now);
       if (!n || badness(*n, now) > 1 || (merely_slow && n->calls_out > 0)) continue;
@@ -689,7 +697,7 @@
   impl_->nodes.place(n, cell);
   n.named_in_list = impl_->list_count;
   if (state == NodeState::ready) {
-    if (n.started != started) n.suspect_since = kNever, n.strikes = 0, n.paces = 0;  // another process
+    if (n.started != started) n.suspect_since = kNever, n.loss = 0, n.paces = 0;  // another process
     n.started = started;
     n.listed_ready = true, n.away_since = kNever;
   } else if (n.listed_ready) {
@@ -773,8 +781,10 @@
       p.returned = true;
       m.cancel_out(p);
     }
-  } else if (outcome != Outcome::cancelled && outcome != Outcome::not_sent) {
-    m.judge.bad(s, outcome, now);
+  } else if (outcome != Outcome::cancelled && outcome != Outcome::not_sent && outcome != Outcome::timed_out) {
+    m.judge.bad(n, outcome == Outcome::connect_failed || outcome == Outcome::reset, p.multiget->op->usual, now);
+  } else if (outcome == Outcome::timed_out && n.last_return <= s.at && !s.astray) {
+    m.judge.bad(n, true, p.multiget->op->usual, now);
   }
   if (part_over && !p.returned) p.over = true;
   if (p.multiget->phase == Phase::ended)
--- a/src/model/multiget.h
+++ b/src/model/multiget.h
@@ -31,6 +31,8 @@
   bool ended = false;
   bool cancelled = false;
   bool overdue = false;
+  bool astray = false;  // overdue, and not just waiting its turn
+  int overtaken = 0;    // later sends to the node that have come back before it
   Outcome outcome = Outcome::ok;
 };
 
--- a/src/model/node.h
+++ b/src/model/node.h
@@ -44,7 +44,7 @@
   Time last_return = 0;
   double pace = 0;      // smoothed latency divided by parts out when sent, seconds
   long paces = 0;       // samples in pace
-  int strikes = 0;      // bad ends since the last good one
+  double loss = 0;      // smoothed share of sends that came to nothing
   Time suspect_since = kNever;
   Time next_trial = 0;
   Time trial_wait = 0;
