--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -50,9 +50,9 @@
 // Smoothing of latencies: RFC 6298's eighth and quarter.
 constexpr double kMeanGain = 1.0 / 8, kDeviationGain = 1.0 / 4;
 // Part of the fall limit that one broker lets itself use; the rest is for parts heavier than the average.
-constexpr double kColdSafety = 0.5;
+constexpr double kColdSafety = 0.7;
 // A multiget is turned away when its estimate passes this share of the latency budget left.
-constexpr double kPushbackShare = 1.0;
+constexpr double kPushbackShare = 0.75;
 // Past this share of the budget the margin is dropped and traffic over its tenant's share turned away.
 constexpr double kStressShare = 0.5;
 // Past this share of the most-held limit only the most important multigets within their share are taken.
@@ -353,8 +353,7 @@
 
   // Higher is worse. A suspect counts as good when it is due for a trial, with nothing of ours out there.
   int badness(const Node& n, Time now) const {
-    if (judge.suspect(n)) return judge.due_for_trial(n, now) ? 0 : 2;
-    return cold.present_share(n, now) < 0.5 ? 1 : 0;
+    return judge.suspect(n) && !judge.due_for_trial(n, now) ? 1 : 0;
   }
 
   // The design's pick: fewest of this broker's calls out, ties at random. A part that joins a call with room adds
@@ -568,7 +567,7 @@
     for (auto& p : mg.parts) {
       if (p->step != mg.step || p->drawn) continue;
       Node* n = pick(*p, now);
-      if (!n || badness(*n, now) > 1) continue;
+      if (!n || badness(*n, now) > 0) continue;
       p->drawn = true;
       return send(*p, *n, now, true);
     }
@@ -578,7 +577,7 @@
         return !s->ended && !s->astray && !judge.suspect(*s->node);
       });
       Node* n = pick(*p, now);
-      if (!n || badness(*n, now) > 1 || (merely_slow && n->calls_out > 0)) continue;
+      if (!n || badness(*n, now) > 0 || (merely_slow && n->calls_out > 0)) continue;
       return send(*p, *n, now, true);
     }
     return std::nullopt;
