--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -220,8 +220,9 @@
       if (older->at < s.at) ++older->overtaken;
     const double peers = median_pace(nodes);
     if (suspect(n)) {
+      if (pace > kSlowFactor * 2 / 3 * peers || s.overdue) return;
       n.next_trial = now, n.trial_wait = kTrialLatencies * op.usual;
-      if (n.loss < kLossMost / 2 && pace <= kSlowFactor * 2 / 3 * peers) n.suspect_since = kNever, n.pace = pace;
+      if (n.loss < kLossMost / 2) n.suspect_since = kNever, n.pace = pace;
     } else if (n.paces > 3 && n.pace > kSlowFactor * peers) {
       suspect_now(n, op.usual, now);
     }
