--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -430,16 +430,17 @@
 
   // Latency to expect of a multiget: that of the slowest part it can't do without.
   double estimate(const Multiget& mg, Time now) {
-    std::vector<std::pair<double, double>> each;
+    std::vector<const Part*> order;
     for (const auto& p : mg.parts) {
       Node* n = pick(*p, now);
-      each.emplace_back(n ? estimate(*n, now) : seconds(mg.op->latency_budget), p->weight);
+      p->expected = n ? estimate(*n, now) : seconds(mg.op->latency_budget);
+      order.push_back(p.get());
     }
-    std::sort(each.begin(), each.end());
+    std::stable_sort(order.begin(), order.end(), [](auto* a, auto* b) { return a->expected < b->expected; });
     double weight = 0;
-    for (const auto& [latency, w] : each)
-      if ((weight += w) >= mg.op->need - kWeightSlack) return latency;
-    return each.empty() ? 0 : each.back().first;
+    for (const Part* p : order)
+      if ((weight += p->weight) >= mg.op->need - kWeightSlack) return p->expected;
+    return order.empty() ? 0 : order.back()->expected;
   }
 
   // ---- Decisions about one multiget ----
@@ -507,19 +508,23 @@
       return give_up(mg, static_cast<Time>(std::max(0.0, wait - kStressShare * left) * kSecond));
     if (tenant) tenant->recent.push_back(now);
     mg.admitted = true;
-    draw(mg, stressed ? 0 : kMargin);
+    draw(mg, kStressShare * left);
     return std::nullopt;
   }
 
-  // The design's draw: n distinct parts at random and the margin; the others stay unsent.
-  void draw(Multiget& mg, int margin) {
+  // The design's draw: n distinct parts at random and the margin; the others stay unsent. A part that would take
+  // longer than the limit is a straggler already: it's drawn last, and never as margin.
+  void draw(Multiget& mg, double limit) {
     std::vector<Part*> order;
     for (auto& p : mg.parts) order.push_back(p.get());
-    if (mg.op->need < 1 - kWeightSlack)
+    if (mg.op->need < 1 - kWeightSlack) {
       for (std::size_t i = order.size(); i > 1; --i) std::swap(order[i - 1], order[chance.below(i)]);
+      std::stable_partition(order.begin(), order.end(), [&](Part* p) { return p->expected <= limit; });
+    }
     double weight = 0;
+    int margin = kMargin;
     for (Part* p : order) {
-      if (weight >= needed(mg) && margin-- <= 0) break;
+      if (weight >= needed(mg) && (margin-- <= 0 || p->expected > limit)) break;
       p->drawn = true;
       weight += p->weight;
     }
--- a/src/model/multiget.h
+++ b/src/model/multiget.h
@@ -42,6 +42,7 @@
   int shard = 0;
   int step = 1;
   double weight = 0;
+  double expected = 0;  // seconds its answer was expected to take when it came
   bool drawn = false;  // asked for; undrawn parts stay unsent
   bool returned = false;
   bool over = false;   // no send may follow
