--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -273,7 +273,7 @@
   };
   std::vector<Tenant> tenants;
   int brokers = 1, zone = 0, parts_a_call = 1, send_limit = 1, most_held = 1 << 30;
-  bool second_copies = false, may_cancel = false, may_say_when = false;
+  bool marks_retries = false, second_copies = false, may_cancel = false, may_say_when = false;
   Time longest_wait = 0, tick = 0;
 
   std::unordered_map<RequestId, std::unique_ptr<Multiget>> multigets;  // looked up, never walked
@@ -405,13 +405,16 @@
 
   // ---- Time ----
 
-  // When an answer stops earning its full importance. First tries of an op type all come with the same time; a
-  // later one comes with what its client has left, which tells how long that client has waited already.
+  // When an answer stops earning its full importance. A client's later try comes with what its client has left,
+  // which tells how long that client has waited. Where later tries aren't marked, first tries are known by
+  // all coming with the same time. Danger: clients that come with little time on their first try look like
+  // later ones that have waited out their budget; so where that isn't certain they are given all they ask for.
   Time budget_ends(const Multiget& mg) const {
-    const Time left = mg.expires - mg.arrived;
-    const bool first_try = std::abs(left - mg.op->first_try) <= tick;
-    const Time waited = first_try ? 0 : std::max<Time>(0, mg.op->route_timeout - left);
-    return mg.arrived + mg.op->latency_budget - waited;
+    const Time left = mg.expires - mg.arrived, budget = mg.op->latency_budget;
+    const bool later_try = marks_retries ? mg.client_retry : std::abs(left - mg.op->first_try) > tick;
+    Time waited = later_try ? std::max<Time>(0, mg.op->route_timeout - left) : 0;
+    if (!marks_retries && waited >= budget) waited = 0;
+    return std::min(mg.arrived + budget - waited, mg.expires);
   }
 
   // Mechanism 5. Danger: work for answers that earn nothing any more, which makes others late.
@@ -681,6 +684,7 @@
 void Decider::set_pushback(int most_held, bool may_say_when, Time longest_wait, double) {
   impl_->most_held = most_held, impl_->may_say_when = may_say_when, impl_->longest_wait = longest_wait;
 }
+void Decider::set_clients(bool mark_retries) { impl_->marks_retries = mark_retries; }
 void Decider::set_drain_grace(Time) {}
 void Decider::set_cold(double cold_from, Time warm_after, double fall_multiple, Time fall_span) {
   impl_->cold.set(cold_from, warm_after, fall_multiple, fall_span);
--- a/src/decide.h
+++ b/src/decide.h
@@ -51,6 +51,7 @@
   void set_send_limits(int sends_a_part, bool second_copies, bool cancel);
   void set_send_budget(double free, double share, Time window);  // absent: no budget stated
   void set_pushback(int most_held, bool may_say_when, Time longest_wait, double over_share_importance);
+  void set_clients(bool mark_retries);
   void set_drain_grace(Time grace);
   void set_cold(double cold_from, Time warm_after, double fall_multiple, Time fall_span);
   void set_list(bool must_subscribe, Time ask_every);
--- a/src/wirehost/settings.cpp
+++ b/src/wirehost/settings.cpp
@@ -134,6 +134,7 @@
                             s.span("rules.resend-span"));
   decider.set_pushback(s.whole("ceilings.most-held", 1e9), s.flag("ceilings.retry-after", false),
                        s.span("ceilings.max-retry-after", 0), s.number("over-share-worth", 1));
+  decider.set_clients(s.flag("callers.marks-retry", false));
   decider.set_drain_grace(s.span("rules.stop-sending-within", 0));
   decider.set_cold(s.number("rules.cold-from", 1), s.span("rules.cold", 0), s.number("rules.fall-multiple", 1),
                    s.span("rules.overload-for", 1));
