--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -45,6 +45,8 @@
 // Share of a node's sends that come to nothing, smoothed: past the most it is suspect, under half of it cleared.
 // Two bad ends in a row do it, one in four keeps it; sound nodes lose far less than one in a hundred.
 constexpr double kLossGain = 1.0 / 4, kLossMost = 0.3;
+// Where all nodes lose (a bad network), a node is only suspect when it loses more: added times the common share.
+constexpr double kCommonGain = 1.0 / 64, kCommonTimes = 3;
 // A send that so many later ones to its node have overtaken isn't queueing there.
 constexpr int kOvertaken = 3;
 // Smoothing of latencies: RFC 6298's eighth and quarter.
@@ -216,6 +218,7 @@
     const double pace = seconds(latency) / (s.out_before + 1);
     n.pace = n.paces++ ? n.pace + kMeanGain * 2 * (pace - n.pace) : pace;
     if (!s.overdue) n.loss -= kLossGain * n.loss;
+    common_loss_ -= kCommonGain * common_loss_;
     for (Send* older : n.out)
       if (older->at < s.at) ++older->overtaken;
     const double peers = median_pace(nodes);
@@ -230,8 +233,9 @@
   // A send came to nothing, or looks so. A break or silence says more than a lone error.
   void bad(Node& n, bool grave, Time usual, Time now) {
     n.loss += kLossGain * (1 - n.loss);
+    common_loss_ += kCommonGain * (1 - common_loss_);
     if (grave) n.loss = std::max(n.loss, 0.5);
-    if (n.loss > kLossMost) suspect_now(n, usual, now);
+    if (n.loss > kLossMost + kCommonTimes * common_loss_) suspect_now(n, usual, now);
   }
   double median_pace(Nodes& nodes) {
     std::vector<double> paces;
@@ -242,6 +246,9 @@
     std::nth_element(paces.begin(), paces.begin() + paces.size() / 2, paces.end());
     return paces[paces.size() / 2];
   }
+
+ private:
+  double common_loss_ = 0;
 };
 
 double weight_in(const Multiget& mg) {
@@ -539,16 +546,19 @@
                        [](const auto& s) { return !s->ended && !s->overdue && !s->cancelled; });
   }
 
-  // Marks sends that are overdue against what has been seen for like work.
+  // Marks sends that are overdue against what has been seen for like work, and those gone astray: the node has
+  // answered nothing since, or has answered later sends first. The latter shows before a send is overdue.
   void mark_overdue(Multiget& mg, Time now) {
-    const Time limit = judge.overdue_after(*mg.op);
+    const Time limit = judge.overdue_after(*mg.op), early = mg.op->usual + mg.op->deviation;
     for (auto& p : mg.parts)
       for (auto& s : p->sends) {
-        if (s->ended || s->overdue || now - s->at < limit) continue;
-        s->overdue = true;
-        const bool silent = s->node->last_return <= s->at;
-        s->astray = silent || s->overtaken >= kOvertaken;
-        if (s->astray) judge.bad(*s->node, silent, mg.op->usual, now);
+        if (s->ended || s->astray) continue;
+        const bool overtaken = s->overtaken >= kOvertaken && now - s->at >= early;
+        const bool silent = s->node->last_return <= s->at && now - s->at >= limit;
+        if (now - s->at >= limit || overtaken) s->overdue = true;
+        if (!silent && !overtaken) continue;
+        s->astray = true;
+        judge.bad(*s->node, silent, mg.op->usual, now);
       }
   }
 
