--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -131,35 +131,36 @@
     if (!cold(n, now)) return 1;
     return from_ + (1 - from_) * std::max(0.0, seconds(now - n.started) / seconds(warm_after_));
   }
-  bool allows(Node& n, Time now, Nodes& nodes) {
+  bool allows(Node& n, Time now) {
     if (!cold(n, now)) return true;
     while (!n.cold_sends.empty() && n.cold_sends.front() <= now - span_) n.cold_sends.pop_front();
     const double allowance =
-        kColdSafety * multiple_ * present_share(n, now) * seconds(span_) * warm_rate(now, nodes);
+        kColdSafety * multiple_ * present_share(n, now) * seconds(span_) * best_rate_;
     return n.cold_sends.size() + 1 <= std::max(1.0, allowance);
   }
   void sent(Node& n, Time now) {
     if (cold(n, now)) n.cold_sends.push_back(now);
   }
-  void returned(Node& n, Time now) {
+  void returned(Node& n, Time now, Nodes& nodes) {
     n.returns.push_back(now);
     while (n.returns.front() < now - window()) n.returns.pop_front();
+    learn_rate(now, nodes);
   }
 
  private:
   Time window() const { return 4 * span_; }
-  // Parts a second that the average warm node returns to this broker.
-  double warm_rate(Time now, Nodes& nodes) {
+  // Parts a second that the average warm node has returned to this broker at best. The best, not the latest: where
+  // many nodes die at once little gets through, and a cap that fell with it would keep it so.
+  void learn_rate(Time now, Nodes& nodes) {
     double count = 0, warm = 0;
     nodes.each([&](Node& n) {
       if (!n.listed_ready || cold(n, now)) return;
       ++warm;
       count += std::count_if(n.returns.begin(), n.returns.end(), [&](Time t) { return t >= now - window(); });
     });
-    if (warm > 0) last_rate_ = count / warm / seconds(window());
-    return last_rate_;
+    if (warm > 0) best_rate_ = std::max(best_rate_, count / warm / seconds(window()));
   }
-  double from_ = 1, multiple_ = 1, last_rate_ = 0;
+  double from_ = 1, multiple_ = 1, best_rate_ = 0;
   Time warm_after_ = 0, span_ = kSecond;
 };
 
@@ -216,7 +217,10 @@
     op.usual += static_cast<Time>(kMeanGain * static_cast<double>(latency - op.usual));
     ++op.samples;
     const double pace = seconds(latency) / (s.out_before + 1);
-    n.pace = n.paces++ ? n.pace + kMeanGain * 2 * (pace - n.pace) : pace;
+    const double gain = n.paces++ ? 2 * kMeanGain : 1;
+    n.latency += gain * (seconds(latency) - n.latency);
+    n.crowd += gain * (s.out_before + 1 - n.crowd);
+    n.pace = n.latency / n.crowd;  // weighs the answers that had to queue, unlike a mean of ratios
     if (!s.overdue) n.loss -= kLossGain * n.loss;
     common_loss_ -= kCommonGain * common_loss_;
     for (Send* older : n.out)
@@ -225,7 +229,7 @@
     if (suspect(n)) {
       if (pace > kSlowFactor * 2 / 3 * peers || s.overdue) return;
       n.next_trial = now, n.trial_wait = kTrialLatencies * op.usual;
-      if (n.loss < kLossMost / 2) n.suspect_since = kNever, n.pace = pace;
+      if (n.loss < kLossMost / 2) n.suspect_since = kNever, n.paces = 0;
     } else if (n.paces > 3 && n.pace > kSlowFactor * peers) {
       suspect_now(n, op.usual, now);
     }
@@ -337,7 +341,7 @@
   bool may_send(const Part& p, Node& n, Time now) {
     if (!may_send_at_all(p, now)) return false;
     if (!n.listed_ready) return false;                   // rule 3: at once, the grace is not used
-    if (!cold.allows(n, now, nodes)) return false;       // rule 4
+    if (!cold.allows(n, now)) return false;       // rule 4
     return p.sends.empty() || further.within_rule(now);  // rule 6
   }
 
@@ -389,7 +393,7 @@
     auto s = std::make_unique<Send>();
     s->part = &p, s->node = &n, s->at = now;
     s->index = static_cast<int>(p.sends.size());
-    s->out_before = static_cast<int>(n.out.size());
+    s->out_before = queue(n);
     if (p.sends.empty())
       further.first_send();
     else
@@ -432,10 +436,15 @@
 
   // ---- Estimates ----
 
+  // Parts of ours that wait or run at the node; what has gone astray does neither.
+  static int queue(const Node& n) {
+    return static_cast<int>(std::count_if(n.out.begin(), n.out.end(), [](auto* s) { return !s->astray; }));
+  }
+
   // Latency to expect of a part sent to this node now, in seconds.
   double estimate(const Node& n, Time now) {
     double pace = n.paces > 3 ? n.pace : judge.median_pace(nodes) / cold.present_share(n, now);
-    return pace * static_cast<double>(n.out.size() + 1);
+    return pace * (queue(n) + 1);
   }
 
   // Latency to expect of a multiget: that of the slowest part it can't do without.
@@ -795,7 +804,7 @@
   if (outcome == Outcome::ok) {
     n.last_return = now;
     m.judge.good(s, *p.multiget->op, latency, now, m.nodes);
-    m.cold.returned(n, now);
+    m.cold.returned(n, now, m.nodes);
     if (!p.over) {
       p.returned = true;
       m.cancel_out(p);
--- a/src/model/node.h
+++ b/src/model/node.h
@@ -42,7 +42,9 @@
 
   // Came back.
   Time last_return = 0;
-  double pace = 0;      // smoothed latency divided by parts out when sent, seconds
+  double latency = 0;   // smoothed, seconds
+  double crowd = 0;     // smoothed parts out when sent, itself included
+  double pace = 0;      // latency / crowd
   long paces = 0;       // samples in pace
   double loss = 0;      // smoothed share of sends that came to nothing
   Time suspect_since = kNever;
