--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -234,10 +234,10 @@
       suspect_now(n, op.usual, now);
     }
   }
+  void astray() { common_loss_ += kCommonGain * (1 - common_loss_); }
   // A send came to nothing, or looks so. A break or silence says more than a lone error.
   void bad(Node& n, bool grave, Time usual, Time now) {
     n.loss += kLossGain * (1 - n.loss);
-    common_loss_ += kCommonGain * (1 - common_loss_);
     if (grave) n.loss = std::max(n.loss, 0.5);
     if (n.loss > kLossMost + kCommonTimes * common_loss_) suspect_now(n, usual, now);
   }
@@ -567,6 +567,7 @@
         if (now - s->at >= limit || overtaken) s->overdue = true;
         if (!silent && !overtaken) continue;
         s->astray = true;
+        judge.astray();
         judge.bad(*s->node, silent, mg.op->usual, now);
       }
   }
