Split the module into parts with their own settings; records do the bookkeeping; no common loss

Each part takes its few settings by itself; node table, book of multigets and chance are plain records now.

--- a/src/decide.h
+++ b/src/decide.h
@@ -1,6 +1,6 @@
-// The door to the decision module. Tell a Decider its settings, then feed it what happens, each input with the
-// time it happened at; after each batch of inputs, pull decisions with next() until it returns none and carry
-// them out in that order. Inputs only update what is known. Any protocol can stand in front of this.
+// The door to the decision module. Tell a Decider its settings, then feed it what happens, each input with
+// the time it happened at; after each batch of inputs, pull decisions with next() until it returns none and
+// carry them out in that order. Inputs only update what is known. Any protocol can stand in front of this.
 #pragma once
 #include <cstdint>
 #include <memory>
@@ -43,33 +43,32 @@
   Decider(const Decider&) = delete;
   Decider& operator=(const Decider&) = delete;
 
-  // Settings, once, before the first input.
-  void set_place(int self, int brokers, int zone);
+  // Settings, once, before the first input; brokers first.
+  void set_brokers(int brokers);
   void add_op_type(const OpType& op);
-  void add_tenant(double share, double quota_per_second);
-  void set_layout(int cells, int replicas_in_a_row, int shards, int parts_a_call);
-  void set_send_limits(int sends_a_part, bool second_copies, bool cancel);
-  void set_send_budget(double free, double share, Time window);  // absent: no budget stated
-  void set_pushback(int most_held, bool may_say_when, Time longest_wait, double over_share_importance);
+  void add_tenant(double quota_per_second);
+  void set_layout(int cells, int replicas_in_a_row, int parts_a_call);
+  void set_sends(int most_a_part, bool second_copies, bool cancel);
+  void set_send_budget(double free, double share, Time window);  // not called: no budget stated
+  void set_pushback(int most_held, bool may_say_when, Time longest_wait);
   void set_clients(bool mark_retries);
-  void set_drain_grace(Time grace);
   void set_cold(double cold_from, Time warm_after, double fall_multiple, Time fall_span);
   void set_list(bool must_subscribe, Time ask_every);
-  void set_timing(Time tick, Time answer_slack);
+  void set_tick(Time tick);
 
   // Inputs.
-  void start(Time now);
+  void start();
   void list_begins(bool complete);  // then list_node for each entry, then list_ends
-  void list_node(Time now, NodeId id, NodeState state, Time started, int cell, int zone, double weight);
-  void list_ends(Time now);
+  void list_node(NodeId id, NodeState state, Time started, int cell);
+  void list_ends();
   void list_failed(Time now);
-  void multiget_arrived(Time now, RequestId id, int op_type, int tenant, float number, int parts,
-                        bool client_retry, Time time_left);
+  void multiget_arrived(Time now, RequestId id, int op_type, int tenant, float number, bool client_retry,
+                        Time time_left);
   void part_arrived(Time now, RequestId id, float number, int shard, double weight);
   void send_ended(Time now, RequestId part, int send_index, Outcome outcome, Time latency, bool part_over,
                   const LoadReport& report);
-  void multiget_abandoned(Time now, RequestId id);
-  void woken(Time now, std::uint64_t token);
+  void multiget_abandoned(RequestId id);
+  void woken(std::uint64_t token);
 
   std::optional<Decision> next(Time now);
 
--- a/src/model/multiget.h
+++ b/src/model/multiget.h
@@ -27,7 +27,7 @@
   std::shared_ptr<Call> call;
   int index = 0;
   Time at = 0;
-  int out_before = 0;  // parts of this broker already out at the node
+  int queue_before = 0;  // parts of this broker waiting at the node before it
   bool ended = false;
   bool cancelled = false;
   bool overdue = false;
@@ -43,9 +43,9 @@
   int step = 1;
   double weight = 0;
   double expected = 0;  // seconds its answer was expected to take when it came
-  bool drawn = false;  // asked for; undrawn parts stay unsent
+  bool drawn = false;   // asked for; undrawn parts stay unsent
   bool returned = false;
-  bool over = false;   // no send may follow
+  bool over = false;  // no send may follow
   std::vector<std::unique_ptr<Send>> sends;
 
   int out() const {
@@ -53,6 +53,12 @@
     for (const auto& s : sends) n += !s->ended;
     return n;
   }
+  // Every send so far is proved never to have run.
+  bool ran_never() const {
+    for (const auto& s : sends)
+      if (!s->ended || !never_ran(s->outcome)) return false;
+    return true;
+  }
 };
 
 enum class Phase { collecting, waiting_second_step, ended };
@@ -65,7 +71,6 @@
   bool client_retry = false;
   Time arrived = 0;
   Time expires = 0;
-  int parts_expected = 0;
   int step = 1;
   bool first_step_whole = false;
   Phase phase = Phase::collecting;
@@ -73,6 +78,20 @@
   bool queued = false;     // on the agenda
   Time woken_at = kNever;  // earliest wake-up already asked for
   std::vector<std::unique_ptr<Part>> parts;
+
+  double weight_in() const {  // of the present step's parts that have returned
+    double sum = 0;
+    for (const auto& p : parts)
+      if (p->step == step && p->returned) sum += p->weight;
+    return sum;
+  }
 };
 
+// Parts of this broker that wait or run at the node; what has gone astray does neither.
+inline int queue_at(const Node& n) {
+  int count = 0;
+  for (const Send* s : n.out) count += !s->astray;
+  return count;
+}
+
 }  // namespace cairnhub
--- a/src/model/node.h
+++ b/src/model/node.h
@@ -13,9 +13,9 @@
 struct Send;
 
 struct LoadReport {
-  double held = -1;       // requests in hand; below 0 = not reported
-  double busy = -1;       // share of cores busy
-  double service_ms = -1; // recent service time
+  double held = -1;        // requests in hand; below 0 = not reported
+  double busy = -1;        // share of cores busy
+  double service_ms = -1;  // recent service time
 };
 
 struct Call {  // parts sent to one node in one turn travel together
@@ -28,11 +28,9 @@
 
   // The list.
   bool listed_ready = false;
-  Time away_since = kNever;  // when this broker learned that it drains or is gone
-  Time started = 0;          // latest start; 0 = long past
+  Time started = 0;                 // latest start; 0 = long past
   std::uint64_t named_in_list = 0;  // number of the last list that named it
   int cell = 0;
-  int zone = 0;
 
   // Out.
   std::vector<Send*> out;  // oldest first
@@ -42,18 +40,17 @@
 
   // Came back.
   Time last_return = 0;
-  double latency = 0;   // smoothed, seconds
-  double crowd = 0;     // smoothed parts out when sent, itself included
-  double pace = 0;      // latency / crowd
-  long paces = 0;       // samples in pace
-  double loss = 0;      // smoothed share of sends that came to nothing
+  double latency = 0;  // smoothed, seconds
+  double crowd = 0;    // smoothed parts out when sent, itself included
+  double pace = 0;     // latency / crowd
+  long paces = 0;      // samples in pace
+  double loss = 0;     // smoothed share of sends that came to nothing
   Time suspect_since = kNever;
   Time next_trial = 0;
   Time trial_wait = 0;
-  std::deque<Time> returns;      // good ends, oldest first
-  std::deque<Time> cold_sends;   // sends while it was cold, oldest first
-  LoadReport report;
-  Time report_at = 0;
+  LoadReport report;            // what it last said of itself
+  std::deque<Time> returns;     // good ends, oldest first
+  std::deque<Time> cold_sends;  // sends while it was cold, oldest first
 };
 
 }  // namespace cairnhub
--- a/src/model/op_type.h
+++ b/src/model/op_type.h
@@ -8,9 +8,9 @@
 
 struct OpType {
   Effect effect = Effect::retriable;
-  Time latency_budget = 0;   // an answer within it earns full importance
-  Time route_timeout = 0;    // the client's whole wait, all its tries together
-  Time dedupe_window = 0;    // deduped only: repeats are dropped this long after the first send
+  Time latency_budget = 0;  // an answer within it earns full importance
+  Time route_timeout = 0;   // the client's whole wait, all its tries together
+  Time dedupe_window = 0;   // deduped only: repeats are dropped this long after the first send
   double importance = 1;
   double late_share = 0;     // what an answer past the latency budget still earns
   double need = 1;           // share of weight that makes a whole answer
@@ -21,7 +21,6 @@
   // Seen: smoothed latency of a part and its mean deviation.
   Time usual = 0;
   Time deviation = 0;
-  long samples = 0;
   Time first_try = 0;  // time that clients give a first try, by majority
   long first_try_votes = 0;
 };
--- a/src/wirehost/frame.h
+++ b/src/wirehost/frame.h
@@ -26,9 +26,9 @@
   std::uint16_t u16(std::size_t at, const char* field) const { return number<std::uint16_t>(at, field); }
   std::uint32_t u32(std::size_t at, const char* field) const { return number<std::uint32_t>(at, field); }
   std::uint64_t u64(std::size_t at, const char* field) const { return number<std::uint64_t>(at, field); }
-  float f32(std::size_t at, const char* field) const;       // finite
-  double f64(std::size_t at, const char* field) const;      // finite
-  Time time(std::size_t at, const char* field) const;       // seconds on the wire, nanoseconds from here on
+  float f32(std::size_t at, const char* field) const;   // finite
+  double f64(std::size_t at, const char* field) const;  // finite
+  Time time(std::size_t at, const char* field) const;   // seconds on the wire, nanoseconds from here on
   std::uint64_t node(std::size_t at, const char* field) const;  // four bytes of address and a port
   std::string_view slice(std::size_t at, std::size_t length, const char* field) const;
 
@@ -46,7 +46,8 @@
   Time now() const { return now_; }
   std::size_t records() const { return records_; }
   Bytes record(std::size_t i) const;
-  // Bytes at the (offset, length) pair that stands at `at` in the record, `size` bytes for each unit of length.
+  // Bytes at the (offset, length) pair that stands at `at` in the record, `size` bytes for each unit of
+  // length.
   std::string_view tail(const Bytes& record, std::size_t at, std::size_t size, const char* field) const;
 
  private:
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -10,24 +10,50 @@
 namespace {
 
 enum EventCode : std::uint8_t {
-  kInit = 0, kMembership = 1, kArrival = 2, kFirst = 3, kReturned = 4, kAbandoned = 5,
-  kFired = 6, kSampled = 7, kWhisper = 8, kExit = 9, kDirectory = 10, kAbout = 11,
+  kInit = 0,
+  kMembership = 1,
+  kArrival = 2,
+  kFirst = 3,
+  kReturned = 4,
+  kAbandoned = 5,
+  kFired = 6,
+  kSampled = 7,
+  kWhisper = 8,
+  kExit = 9,
+  kDirectory = 10,
+  kAbout = 11,
 };
 enum ActionCode : std::uint8_t {
-  kException = 0, kForward = 1, kRetract = 2, kArm = 4, kDeny = 6,
-  kAs = 9, kSoundOut = 10, kGiveUp = 11, kHandIn = 12, kStreamChanges = 13,
+  kException = 0,
+  kForward = 1,
+  kRetract = 2,
+  kArm = 4,
+  kDeny = 6,
+  kAs = 9,
+  kSoundOut = 10,
+  kGiveUp = 11,
+  kHandIn = 12,
+  kStreamChanges = 13,
 };
 
 Outcome outcome(std::uint16_t code) {
   switch (code) {
-    case 10: return Outcome::ok;
-    case 20: return Outcome::error;
-    case 30: return Outcome::full;
-    case 40: return Outcome::timed_out;
-    case 50: return Outcome::connect_failed;
-    case 60: return Outcome::reset;
-    case 70: return Outcome::cancelled;
-    case 80: return Outcome::not_sent;
+    case 10:
+      return Outcome::ok;
+    case 20:
+      return Outcome::error;
+    case 30:
+      return Outcome::full;
+    case 40:
+      return Outcome::timed_out;
+    case 50:
+      return Outcome::connect_failed;
+    case 60:
+      return Outcome::reset;
+    case 70:
+      return Outcome::cancelled;
+    case 80:
+      return Outcome::not_sent;
   }
   throw WireError("malformed event: result is not a known outcome code");
 }
@@ -81,14 +107,16 @@
   if (code == kInit) {
     inst.decider = std::make_unique<Decider>(r.u64(1, "nonce64"));
     apply_settings(batch.tail(r, 9, 1, "options"), *inst.decider, inst.report_fields);
-    inst.decider->start(now);
+    inst.decider->start();
     return;
   }
   if (code > kAbout) throw WireError("malformed event: code is unknown");
   if (!inst.decider) throw WireError("malformed event: broker has not been started");
   Decider& d = *inst.decider;
   switch (code) {
-    case kMembership: list(batch, r, d); break;
+    case kMembership:
+      list(batch, r, d);
+      break;
     case kArrival: {
       const RequestId id = r.u32(1, "txn");
       const float number = r.f32(9, "ask-no"), amount = r.f32(30, "heft"), shard = r.f32(34, "segment-no");
@@ -96,8 +124,8 @@
       if (shard > 1e6f) throw WireError("malformed event: segment-no is out of range");
       const std::uint16_t flags = r.u16(7, "opts");
       if (shard < 0) {
-        d.multiget_arrived(now, id, r.u8(21, "tier-class"), r.u16(5, "party"), number,
-                           static_cast<int>(amount), (flags & 2) != 0, r.time(38, "time-budget"));
+        d.multiget_arrived(now, id, r.u8(21, "tier-class"), r.u16(5, "party"), number, (flags & 2) != 0,
+                           r.time(38, "time-budget"));
       } else {
         d.part_arrived(now, id, number, static_cast<int>(shard), amount);
       }
@@ -107,10 +135,19 @@
       d.send_ended(now, r.u32(1, "txn"), r.u8(5, "copy"), outcome(r.u16(12, "result")), r.time(14, "lag"),
                    r.u8(22, "done-flag") != 0, report(r, 23, inst));
       break;
-    case kAbandoned: d.multiget_abandoned(now, r.u32(1, "txn")); break;
-    case kFired: d.woken(now, r.u64(1, "name")); break;
-    case kExit: inst.decider.reset(); break;
-    case kFirst: case kSampled: case kWhisper: break;  // streams, probes and messages are not used
+    case kAbandoned:
+      d.multiget_abandoned(r.u32(1, "txn"));
+      break;
+    case kFired:
+      d.woken(r.u64(1, "name"));
+      break;
+    case kExit:
+      inst.decider.reset();
+      break;
+    case kFirst:
+    case kSampled:
+    case kWhisper:
+      break;  // streams, probes and messages are not used
   }
 }
 
@@ -123,10 +160,10 @@
   d.list_begins(how != 2);
   for (std::size_t at = 0; at < it->second.size(); at += kEntry) {
     const Bytes e(std::string_view(it->second).substr(at, kEntry), "entry");
-    d.list_node(batch.now(), e.node(0, "node"), node_state(e.u8(6, "lifecycle")), e.time(7, "boot-time"),
-                e.u16(20, "position"), e.u16(22, "az"), e.f32(16, "weight"));
+    d.list_node(e.node(0, "node"), node_state(e.u8(6, "lifecycle")), e.time(7, "boot-time"),
+                e.u16(20, "position"));
   }
-  d.list_ends(batch.now());
+  d.list_ends();
 }
 
 LoadReport Host::report(const Bytes& r, std::size_t at, const Instance& inst) const {
--- a/src/wirehost/settings.cpp
+++ b/src/wirehost/settings.cpp
@@ -113,7 +113,7 @@
 
 void apply_settings(std::string_view text, Decider& decider, std::vector<std::string>& report_fields) {
   const Settings s(text);
-  decider.set_place(s.whole("self-index", 0), s.whole("balancers", 1), s.whole("zone", 0));
+  decider.set_brokers(s.whole("balancers", 1));
   const int op_types = s.whole("classes.count");
   if (op_types < 1 || op_types > 256) complain("classes.count", "is out of range");
   for (int i = 0; i < op_types; ++i) decider.add_op_type(read_op_type(s, i));
@@ -121,25 +121,24 @@
   if (tenants < 0 || tenants > 65536) complain("tenants.count", "is out of range");
   for (int i = 0; i < tenants; ++i) {
     const std::string at = "tenants." + std::to_string(i) + ".";
-    decider.add_tenant(s.number(at + "portion", 0), s.number(at + "quota-per-s", 0));
+    decider.add_tenant(s.number(at + "quota-per-s", 0));
   }
   const int cells = s.whole("family-info.positions"), width = s.whole("family-info.width");
   if (cells < 1 || cells > 65536) complain("family-info.positions", "is out of range");
   if (width < 1 || width > cells) complain("family-info.width", "is out of range");
-  decider.set_layout(cells, width, s.whole("family-info.ranges", 0), s.whole("family-info.parts-a-call", 1));
-  decider.set_send_limits(s.whole("ceilings.try-limit", 1), s.flag("ceilings.second-copies", false),
-                          s.flag("ceilings.cancel", false));
+  decider.set_layout(cells, width, s.whole("family-info.parts-a-call", 1));
+  decider.set_sends(s.whole("ceilings.try-limit", 1), s.flag("ceilings.second-copies", false),
+                    s.flag("ceilings.cancel", false));
   if (s.has("rules.resend-span"))
     decider.set_send_budget(s.number("rules.budget-free", 0), s.number("rules.extra-ratio", 0),
                             s.span("rules.resend-span"));
   decider.set_pushback(s.whole("ceilings.most-held", 1e9), s.flag("ceilings.retry-after", false),
-                       s.span("ceilings.max-retry-after", 0), s.number("over-share-worth", 1));
+                       s.span("ceilings.max-retry-after", 0));
   decider.set_clients(s.flag("callers.marks-retry", false));
-  decider.set_drain_grace(s.span("rules.stop-sending-within", 0));
-  decider.set_cold(s.number("rules.cold-from", 1), s.span("rules.cold", 0), s.number("rules.fall-multiple", 1),
-                   s.span("rules.overload-for", 1));
+  decider.set_cold(s.number("rules.cold-from", 1), s.span("rules.cold", 0),
+                   s.number("rules.fall-multiple", 1), s.span("rules.overload-for", 1));
   decider.set_list(s.text("registry-mode", "automatic") == "subscribe", s.span("rules.ask-every", 10));
-  decider.set_timing(s.span("tick", 0.001), s.span("rules.answer-slack", 0));
+  decider.set_tick(s.span("tick", 0.001));
   report_fields.clear();
   std::string names = s.text("load-info.fields", "");
   for (std::size_t from = 0; from < names.size();) {
--- a/src/wirehost/settings.h
+++ b/src/wirehost/settings.h
@@ -9,9 +9,9 @@
 
 namespace cairnhub::wire {
 
-// Reads the settings text and tells the decider, setting by setting. Unknown keys are skipped. Throws WireError
-// naming the setting when a needed one is absent or one can't be read. Fills in the names of the load report's
-// values, in their order.
+// Reads the settings text and tells the decider, setting by setting. Unknown keys are skipped. Throws
+// WireError naming the setting when a needed one is absent or one can't be read. Fills in the names of the
+// load report's values, in their order.
 void apply_settings(std::string_view text, Decider& decider, std::vector<std::string>& report_fields);
 
 }  // namespace cairnhub::wire
--- a/tests/frames.cpp
+++ b/tests/frames.cpp
@@ -1,5 +1,5 @@
-// The frame codec and settings on the wire page's worked examples and on malformed input. Prints one line each;
-// CTest diffs them with tests/traces/frames.txt.
+// The frame codec and settings on the wire page's worked examples and on malformed input. Prints one line
+// each; CTest diffs them with tests/traces/frames.txt.
 #include <cstdio>
 #include <string>
 
@@ -41,8 +41,8 @@
 
 // A batch of these records and this tail, its header filled in; the clock is the wire page's.
 std::string batch(const std::string& records, const std::string& tail = "") {
-  return le32(records.size() / 48) + le32(16 + records.size() + tail.size()) + bytes("508d976e12d32040") + records +
-         tail;
+  return le32(records.size() / 48) + le32(16 + records.size() + tail.size()) + bytes("508d976e12d32040") +
+         records + tail;
 }
 
 void show(const char* what, wire::Host& host, const std::string& frame) {
@@ -56,15 +56,18 @@
 const std::string kSettings =
     "classes.count=1\nclasses.0.promise=1.5\nclasses.0.deadline=4.0\nunknown.key=x\n"
     "family-info.positions=12\nfamily-info.width=3\nload-info.fields=avg_ms,rps,active\n";
-const std::string kAbout3 = bytes("0b 03000000 +43"), kArrival =
-    bytes("02 c4913a5d 0000 0100 00005643 640ad2557c3bf091 00 fa7e6abc7493883f 0000003e 00000000 b81e85eb51b8ce3f +2");
+const std::string kAbout3 = bytes("0b 03000000 +43"),
+                  kArrival = bytes(
+                      "02 c4913a5d 0000 0100 00005643 640ad2557c3bf091 00 fa7e6abc7493883f 0000003e 00000000 "
+                      "b81e85eb51b8ce3f +2");
 
-std::string init(const std::string& settings) {  // Init, a Directory of the page's two nodes, and the cached list
+std::string init(
+    const std::string& settings) {  // Init, a Directory of the page's two nodes, and the cached list
   const std::string nodes = bytes("0a124a07 c32b 01 0000000000000000 00 0000803f 0000 0000") +
                             bytes("0a9011f2 ec2b 01 6666666666661840 00 0000c03f 0000 0000");
-  const std::string records = kAbout3 + bytes("00 0700000000000000 00000000") + le32(settings.size()) + bytes("+31") +
-                              bytes("0a 00000000") + le32(settings.size()) + le32(2) + bytes("+35") +
-                              bytes("01 29000000 00 00000000 +38");
+  const std::string records = kAbout3 + bytes("00 0700000000000000 00000000") + le32(settings.size()) +
+                              bytes("+31") + bytes("0a 00000000") + le32(settings.size()) + le32(2) +
+                              bytes("+35") + bytes("01 29000000 00 00000000 +38");
   return batch(records, settings + nodes);
 }
 
@@ -87,7 +90,8 @@
   query.replace(30, 8, bytes("0000803f 000080bf"));
   part.replace(1, 1, "\x01").replace(30, 4, bytes("0000803f"));
   show("multiget of one part", host, batch(kAbout3 + query + part));
-  const std::string back = bytes("04 01913a5d 00 0a124a07 c32b 0a00 8b6ce7fba9f1923f 01 03 00006841 00000c43 0000e040 +12");
+  const std::string back =
+      bytes("04 01913a5d 00 0a124a07 c32b 0a00 8b6ce7fba9f1923f 01 03 00006841 00000c43 0000e040 +12");
   std::string back2 = back;
   back2.replace(6, 6, bytes("0a9011f2 ec2b"));
   show("its part returned", host, batch(kAbout3 + back));
--- a/tests/story.h
+++ b/tests/story.h
@@ -19,13 +19,14 @@
   std::map<RequestId, int> sends;  // a part's sends so far
 
   // One-part multigets need `need` of their parts; one cell holds a shard unless said otherwise.
-  explicit Story(OpType op, int cells = 2, int replicas = 2, int parts_a_call = 1, int send_limit = 3) : d(7) {
-    d.set_place(0, 2, 0);
+  explicit Story(OpType op, int cells = 2, int replicas = 2, int parts_a_call = 1, int send_limit = 3)
+      : d(7) {
+    d.set_brokers(2);
     d.add_op_type(op);
-    d.set_layout(cells, replicas, cells, parts_a_call);
-    d.set_send_limits(send_limit, true, true);
-    d.set_pushback(1000, true, kSecond, 0.05);
-    d.set_timing(5 * kMs, 20 * kMs);
+    d.set_layout(cells, replicas, parts_a_call);
+    d.set_sends(send_limit, true, true);
+    d.set_pushback(1000, true, kSecond);
+    d.set_tick(5 * kMs);
     d.set_cold(0.2, 10 * kSecond, 2, kSecond);
   }
   static OpType op(double need = 1, Effect effect = Effect::retriable) {
@@ -36,23 +37,23 @@
   }
   // Ready nodes 1..count in cells 0.., long started.
   void nodes(int count, Time started = 0) {
-    d.start(now);
+    d.start();
     d.list_begins(true);
-    for (int i = 0; i < count; ++i) d.list_node(now, i + 1, NodeState::ready, started, i, 0, 1);
-    d.list_ends(now);
+    for (int i = 0; i < count; ++i) d.list_node(i + 1, NodeState::ready, started, i);
+    d.list_ends();
   }
   void change(NodeId id, NodeState state, Time started = 0) {
     std::printf("%5lld  list: node %llu %s\n", ms(), id_of(id), state == NodeState::ready ? "ready" : "away");
     d.list_begins(false);
-    d.list_node(now, id, state, started, static_cast<int>(id) - 1, 0, 1);
-    d.list_ends(now);
+    d.list_node(id, state, started, static_cast<int>(id) - 1);
+    d.list_ends();
     pull();
   }
   // Multiget `id` with parts id*10, id*10+1 .. at these shards.
   void ask(RequestId id, const std::vector<int>& shards, Time left = 3 * kSecond, bool pull_now = true) {
     std::printf("%5lld  ask %u\n", ms(), id);
     const int k = static_cast<int>(shards.size());
-    d.multiget_arrived(now, id, 0, 0, static_cast<float>(id), k, false, left);
+    d.multiget_arrived(now, id, 0, 0, static_cast<float>(id), false, left);
     for (int i = 0; i < k; ++i) d.part_arrived(now, id * 10 + i, static_cast<float>(id), shards[i], 1.0 / k);
     if (pull_now) pull();
   }
@@ -70,7 +71,7 @@
   void run_to(long long at_ms) {
     while (!wakes.empty() && wakes.begin()->first <= at_ms * kMs) {
       now = std::max(now, wakes.begin()->first);
-      d.woken(now, wakes.begin()->second);
+      d.woken(wakes.begin()->second);
       wakes.erase(wakes.begin());
       pull();
     }
@@ -87,10 +88,12 @@
       return;
     }
     std::printf("%5lld    ", ms());
-    if (x.kind == K::send) std::printf("send %u.%d to node %llu\n", x.request, sends[x.request]++, id_of(x.node));
+    if (x.kind == K::send)
+      std::printf("send %u.%d to node %llu\n", x.request, sends[x.request]++, id_of(x.node));
     if (x.kind == K::cancel) std::printf("cancel %u.%d\n", x.request, x.send_index);
     if (x.kind == K::answer) std::printf("answer %u %s\n", x.request, x.whole ? "whole" : "in part");
-    if (x.kind == K::push_back) std::printf("push back %u, come back in %lld\n", x.request, static_cast<long long>(x.span / kMs));
+    if (x.kind == K::push_back)
+      std::printf("push back %u, come back in %lld\n", x.request, static_cast<long long>(x.span / kMs));
     if (x.kind == K::fail) std::printf("fail %u\n", x.request);
     if (x.kind == K::subscribe) std::printf("subscribe\n");
   }
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -28,13 +28,15 @@
   s.ask(4, {0});
 }
 
-void shared_calls() {  // two parts a call: the second joins the first's, the third opens one at the other node
+void shared_calls() {  // two parts a call: the second joins the first's, the third opens one at the other
+                       // node
   Story s(Story::op(), 2, 2, 2);
   s.nodes(2);
   s.ask(1, {0, 0, 0});
 }
 
-void no_outcome_ever() {  // rule 1: nothing ever comes back; ended before the client's 1500 ms, nothing sent after
+void no_outcome_ever() {  // rule 1: nothing ever comes back; ended before the client's 1500 ms, nothing sent
+                          // after
   Story s(Story::op(), 2, 2);
   s.nodes(2);
   s.ask(1, {0}, 1500 * kMs);
@@ -118,7 +120,8 @@
   s.back(19, Outcome::ok);
 }
 
-void send_budget() {  // rule 6: one further send a second is free, shares earn none; the next waits for the window
+void send_budget() {  // rule 6: one further send a second is free, shares earn none; the next waits for the
+                      // window
   Story s(Story::op(), 3, 3);
   s.d.set_send_budget(1, 0, kSecond);
   s.nodes(3);
@@ -137,7 +140,8 @@
   s.run_to(900);
 }
 
-void hang() {  // a silent node is left alone, its part copied, then tried again with one part and trusted again
+void hang() {  // a silent node is left alone, its part copied, then tried again with one part and trusted
+               // again
   Story s(Story::op(), 2, 2);
   s.nodes(2);
   s.ask(1, {0});
@@ -165,7 +169,8 @@
   }
 }
 
-void push_back() {  // slow answers, parts piling up: what can't be in time is turned away and told when to return
+void push_back() {  // slow answers, parts piling up: what can't be in time is turned away and told when to
+                    // return
   Story s(Story::op(), 1, 1);
   s.nodes(1);
   for (RequestId id = 1; id < 5; ++id) {
@@ -181,12 +186,21 @@
 
 int main(int argc, char** argv) {
   using namespace cairnhub;
-  const std::pair<const char*, void (*)()> all[] = {
-      {"any_k", any_k}, {"fewest_out", fewest_out}, {"shared_calls", shared_calls},
-      {"no_outcome_ever", no_outcome_ever}, {"non_retriable", non_retriable}, {"deduped", deduped},
-      {"drain", drain}, {"cold_cap", cold_cap}, {"in_part", in_part}, {"second_step", second_step},
-      {"send_budget", send_budget}, {"overdue_undrawn", overdue_undrawn}, {"hang", hang},
-      {"list_lost", list_lost}, {"push_back", push_back}};
+  const std::pair<const char*, void (*)()> all[] = {{"any_k", any_k},
+                                                    {"fewest_out", fewest_out},
+                                                    {"shared_calls", shared_calls},
+                                                    {"no_outcome_ever", no_outcome_ever},
+                                                    {"non_retriable", non_retriable},
+                                                    {"deduped", deduped},
+                                                    {"drain", drain},
+                                                    {"cold_cap", cold_cap},
+                                                    {"in_part", in_part},
+                                                    {"second_step", second_step},
+                                                    {"send_budget", send_budget},
+                                                    {"overdue_undrawn", overdue_undrawn},
+                                                    {"hang", hang},
+                                                    {"list_lost", list_lost},
+                                                    {"push_back", push_back}};
   for (const auto& [name, story] : all)
     if (argc > 1 && std::strcmp(argv[1], name) == 0) return story(), 0;
   return 2;
