--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -58,8 +58,8 @@
 constexpr int kTrialLatencies = 4, kTrialDoublings = 8;
 // Part of the fall limit that one broker lets itself use; the rest is for parts heavier than the average.
 constexpr double kColdSafety = 0.7;
-// A multiget is turned away when its estimate passes this share of the latency budget left: the estimate is a
-// mean, and the slowest of several parts comes later than that.
+// A multiget is turned away when its estimate passes this share of the latency budget left: the estimate is a mean,
+// and the slowest of several parts comes later than that.
 constexpr double kPushbackShare = 0.75;
 // Past this share a part counts as a straggler in the draw, and traffic over its tenant's share is turned
 // away.
@@ -265,15 +265,15 @@
     else if (--op.first_try_votes < 0)
       op.first_try = left, op.first_try_votes = 1;
   }
-  // When an answer stops earning its full importance. A client's later try comes with what its client has
-  // left, which tells how long that client has waited. Danger: where later tries aren't marked, clients that
-  // come with little time at first look like ones that have waited out their budget; they are given all they
-  // ask for.
+  // When an answer stops earning its full importance. A client's later try comes with what its client has left,
+  // which tells how long that client has waited. Danger: clients that give each try little time look like ones
+  // that have waited out their budget. Unless a mark says so and a late answer earns nothing, they are given all
+  // they ask for. Harm: a late try that was really one gets an answer that earns only the late share.
   Time budget_ends(const Multiget& mg) const {
     const Time left = mg.expires - mg.arrived, budget = mg.op->latency_budget;
     const bool later_try = marks_retries_ ? mg.client_retry : std::abs(left - mg.op->first_try) > tick_;
     Time waited = later_try ? std::max<Time>(0, mg.op->route_timeout - left) : 0;
-    if (!marks_retries_ && waited >= budget) waited = 0;
+    if (waited >= budget && (!marks_retries_ || mg.op->late_share > 0)) waited = 0;
     return std::min(mg.arrived + budget - waited, mg.expires);
   }
   Time useful_until(const Multiget& mg) const {
