--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -61,9 +61,10 @@
 // A multiget is turned away when its estimate passes this share of the latency budget left: the estimate is a mean,
 // and the slowest of several parts comes later than that.
 constexpr double kPushbackShare = 0.75;
-// Past this share a part counts as a straggler in the draw, and traffic over its tenant's share is turned
-// away.
+// Past this share traffic over its tenant's share is turned away.
 constexpr double kStressShare = 0.5;
+// A part expected to take more than this share counts as a straggler in the draw: it stands in a queue of several.
+constexpr double kStragglerShare = 0.25;
 // Past this share of the most-held limit only the most important multigets within their share are taken.
 constexpr double kCrowdedShare = 0.8;
 // Span over which a tenant's multigets are held against its share: a few arrivals even of a small tenant.
@@ -455,7 +456,7 @@
       return give_up(mg, static_cast<Time>(std::max(0.0, wait - kStressShare * left) * kSecond));
     shares.taken(mg, now);
     mg.admitted = true;
-    draw(mg, kStressShare * left);
+    draw(mg, kStragglerShare * left);
     return std::nullopt;
   }
 
