--- a/src/model/nodes.h
+++ b/src/model/nodes.h
@@ -29,12 +29,11 @@
     node.cell = cell;
     cells_[cell].push_back(&node);
   }
-  // Nodes listed as ready that hold the shard.
+  // Nodes that hold the shard, ready or not.
   std::vector<Node*> holders(int shard) const {
     std::vector<Node*> found;
     for (int j = 0; j < replicas_; ++j)
-      for (Node* n : cells_[(shard + j) % cells_.size()])
-        if (n->listed_ready) found.push_back(n);
+      for (Node* n : cells_[(shard + j) % cells_.size()]) found.push_back(n);
     return found;
   }
   // In order of id.
