--- a/src/wirehost/frame.cpp
+++ b/src/wirehost/frame.cpp
@@ -47,7 +47,7 @@
 }
 
 std::string_view Bytes::slice(std::size_t at, std::size_t length, const char* field) const {
-  if (at > data_.size() || false) complain(what_, field, "lies past the end");
+  if (at > data_.size() || data_.size() - at < length) complain(what_, field, "lies past the end");
   return data_.substr(at, length);
 }
 
