Silence counts from half the budget; parts astray are copied to suspects too, and given up

Silence: at half the budget at the latest, but not before twice what was expected of the node. Rescue: an astray part may go to a suspect. A part astray for a budget and an overdue time ends its multiget at once.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -58,12 +58,13 @@
 constexpr int kTrialLatencies = 4, kTrialDoublings = 8;
 // Part of the fall limit that one broker lets itself use; the rest is for parts heavier than the average.
 constexpr double kColdSafety = 0.7;
-// A multiget is turned away when its estimate passes this share of the latency budget left: the estimate is a mean,
-// and the slowest of several parts comes later than that.
+// A multiget is turned away when its estimate passes this share of the latency budget left: the estimate is a
+// mean, and the slowest of several parts comes later than that.
 constexpr double kPushbackShare = 0.75;
 // Past this share traffic over its tenant's share is turned away.
 constexpr double kStressShare = 0.5;
-// A part expected to take more than this share counts as a straggler in the draw: it stands in a queue of several.
+// A part expected to take more than this share counts as a straggler in the draw: it stands in a queue of
+// several.
 constexpr double kStragglerShare = 0.25;
 // Past this share of the most-held limit only the most important multigets within their share are taken.
 constexpr double kCrowdedShare = 0.8;
@@ -158,6 +159,9 @@
   Time overdue_after(const OpType& op) const {
     return std::max<Time>(2 * op.usual, op.usual + kOverdueDeviations * op.deviation);
   }
+  // Half the budget at the latest: a copy must still have its time. But twice what was expected of the node
+  // when the part was sent, so that a cold one, or one with a queue, isn't taken for silent.
+  Time silent_after(const OpType& op) const { return std::min(overdue_after(op), op.latency_budget / 2); }
   bool suspect(const Node& n) const { return n.suspect_since != kNever; }
   // A suspect with nothing of ours out there is as good as any when it's due for a trial.
   bool shunned(const Node& n, Time now) const { return suspect(n) && (now < n.next_trial || !n.out.empty()); }
@@ -194,13 +198,13 @@
     if (n.loss > kLossMost) suspect_now(n, usual, now);
   }
   // Marks a send that is overdue against what has been seen for like work, and one gone astray: the node has
-  // answered nothing since, or has answered later sends first. The latter shows before a send is overdue.
+  // answered nothing since, or has answered later sends first.
   void look_at(Send& s, const OpType& op, Time now) const {
     if (s.ended || s.astray) return;
     const Time age = now - s.at;
-    const bool overtaken = s.overtaken >= kOvertaken && age >= op.usual + op.deviation;
-    s.overdue = s.overdue || overtaken || age >= overdue_after(op);
-    const bool silent = s.overdue && s.node->last_return <= s.at;
+    const bool overtaken = s.overtaken >= kOvertaken && age >= silent_after(op);
+    const bool silent = s.node->last_return <= s.at && age >= std::max(silent_after(op), 2 * s.expected);
+    s.overdue = s.overdue || silent || overtaken || age >= overdue_after(op);
     if (!silent && !overtaken) return;
     s.astray = true;
     bad(*s.node, silent, op.usual, now);
@@ -266,10 +270,11 @@
     else if (--op.first_try_votes < 0)
       op.first_try = left, op.first_try_votes = 1;
   }
-  // When an answer stops earning its full importance. A client's later try comes with what its client has left,
-  // which tells how long that client has waited. Danger: clients that give each try little time look like ones
-  // that have waited out their budget. Unless a mark says so and a late answer earns nothing, they are given all
-  // they ask for. Harm: a late try that was really one gets an answer that earns only the late share.
+  // When an answer stops earning its full importance. A client's later try comes with what its client has
+  // left, which tells how long that client has waited. Danger: clients that give each try little time look
+  // like ones that have waited out their budget. Unless a mark says so and a late answer earns nothing, they
+  // are given all they ask for. Harm: a late try that was really one gets an answer that earns only the late
+  // share.
   Time budget_ends(const Multiget& mg) const {
     const Time left = mg.expires - mg.arrived, budget = mg.op->latency_budget;
     const bool later_try = marks_retries_ ? mg.client_retry : std::abs(left - mg.op->first_try) > tick_;
@@ -394,6 +399,7 @@
     s->part = &p, s->node = &n, s->at = now;
     s->index = static_cast<int>(p.sends.size());
     s->queue_before = queue_at(n);
+    s->expected = static_cast<Time>(estimate(n, now) * kSecond);
     if (p.sends.empty())
       gate.further.first_send();
     else
@@ -482,6 +488,20 @@
 
   // ---- Final answers ----
 
+  // Whether copies of this multiget's parts could still be in time.
+  bool time_for_copies(const Multiget& mg, Time now) const {
+    return lateness.budget_ends(mg) - now >= mg.op->usual / 2;
+  }
+
+  // False when the part is given up: what is out has gone astray and has had a whole latency budget and an
+  // overdue time more, and no further send will be made.
+  bool may_come(const Part& p, Time now) const {
+    const OpType& op = *p.multiget->op;
+    for (const auto& s : p.sends)
+      if (!s->ended && (!s->astray || now - s->at < op.latency_budget + judge.overdue_after(op))) return true;
+    return gate.may_send(p, now) && (p.ran_never() || time_for_copies(*p.multiget, now));
+  }
+
   // Rule 5: the one place that answers. Less than whole goes out only when time is up.
   std::optional<Decision> settle(Multiget& mg, Time now) {
     const double in = mg.weight_in();
@@ -490,8 +510,7 @@
     for (const auto& p : mg.parts) {
       if (p->step != mg.step) continue;
       any = any || p->returned;
-      // Lost: nothing is out, and no rule on the part itself allows a send any more.
-      if (p->returned || p->out() || gate.may_send(*p, now)) possible += p->weight;
+      if (p->returned || may_come(*p, now)) possible += p->weight;
     }
     if (any && in >= needed(mg)) return answer(mg, mg.step == 1 || mg.first_step_whole);
     if (now < lateness.useful_until(mg) && possible >= needed(mg)) return std::nullopt;
@@ -555,16 +574,15 @@
       if (n) return send(*p, *n, now, spend);
     }
     // Copies only while they can be in time.
-    if (!gate.further.saved() || lateness.budget_ends(mg) - now < mg.op->usual / 2) return std::nullopt;
+    if (!gate.further.saved() || !time_for_copies(mg, now)) return std::nullopt;
     for (const bool undrawn : {true, false})  // an undrawn part first, else a second copy
       for (Part* p : open) {
         if (p->drawn == undrawn || hopeful(*p) || (p->drawn && p->sends.empty())) continue;
         Node* n = pick(*p, now);
-        if (!n || judge.shunned(*n, now)) continue;
         const bool merely_slow = std::any_of(p->sends.begin(), p->sends.end(), [&](const auto& s) {
           return !s->ended && !s->astray && !judge.suspect(*s->node);
         });
-        if (merely_slow && n->calls_out > 0) continue;
+        if (!n || (merely_slow && (n->calls_out > 0 || judge.shunned(*n, now)))) continue;
         p->drawn = true;
         return send(*p, *n, now, true);
       }
@@ -573,13 +591,15 @@
 
   // Each multiget asks to be woken before anything about it falls due, its end at the latest (rule 1).
   std::optional<Decision> wake(Multiget& mg, Time now) {
-    const Time tick = lateness.tick(), limit = judge.overdue_after(*mg.op);
+    const Time tick = lateness.tick();
+    const Time silent = judge.silent_after(*mg.op), overdue = judge.overdue_after(*mg.op);
     Time at = std::max(lateness.useful_until(mg), now);
     for (const auto& p : mg.parts) {
       if (p->step != mg.step || p->returned || !p->drawn) continue;
       if (!hopeful(*p)) at = std::min(at, now + std::max<Time>(mg.op->usual / 4, tick));
       for (const auto& s : p->sends)
-        if (!s->ended && !s->overdue) at = std::min(at, std::max(s->at + limit, now + tick));
+        if (!s->ended && !s->overdue)
+          at = std::min(at, std::max(s->at + (now < s->at + silent ? silent : overdue), now + tick));
     }
     if (mg.woken_at <= at) return std::nullopt;  // still to come
     mg.woken_at = at;
@@ -753,8 +773,8 @@
   if (token == kListToken) return impl_->list.woken();
   Multiget* mg = impl_->book.multiget(static_cast<RequestId>(token));
   if (!mg) return;
-  // Whatever it was for is spent. Danger: a wake-up that comes a hair early, by the rounding of a clock, would
-  // otherwise still count as asked for, and the multiget would never be ended.
+  // Whatever it was for is spent. Danger: a wake-up that comes a hair early, by the rounding of a clock,
+  // would otherwise still count as asked for, and the multiget would never be ended.
   mg->woken_at = kNever;
   impl_->book.look_at(*mg);
 }
--- a/src/model/multiget.h
+++ b/src/model/multiget.h
@@ -28,6 +28,7 @@
   int index = 0;
   Time at = 0;
   int queue_before = 0;  // parts of this broker waiting at the node before it
+  Time expected = 0;     // how long its answer was expected to take
   bool ended = false;
   bool cancelled = false;
   bool overdue = false;
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -169,6 +169,37 @@
   }
 }
 
+void given_up() {  // the only replica stays silent: ended after a latency budget and an overdue time, not at
+                   // 3 s
+  Story s(Story::op(), 1, 1);
+  s.nodes(1);
+  s.ask(1, {0});
+  s.run_to(4000);
+}
+
+void short_tries() {  // unmarked clients with little time at first aren't taken for ones that have waited
+                      // long
+  Story s(Story::op(), 1, 1);
+  s.nodes(1);
+  for (RequestId id = 1; id < 4; ++id) {
+    s.ask(id, {0}, id == 2 ? 300 * kMs : 2 * kSecond);
+    s.now += 100 * kMs;
+    s.back(id * 10, Outcome::ok);
+  }
+}
+
+void swallows() {  // a node that answers three later parts has lost one: copied before it is overdue at 500
+                   // ms
+  Story s(Story::op(), 2, 2);
+  s.nodes(2);
+  s.change(2, NodeState::draining);
+  for (RequestId id = 1; id < 5; ++id, s.now += 10 * kMs) s.ask(id, {0});
+  s.now = 150 * kMs;
+  for (RequestId id = 2; id < 5; ++id) s.back(id * 10, Outcome::ok, 120 * kMs);
+  s.change(2, NodeState::ready);
+  s.run_to(700);
+}
+
 void list_lost() {  // the subscription fails, then drops: asked for again after a wait, longer each time
   Story s(Story::op(), 2, 2);
   s.d.set_list(true, 10 * kSecond);
@@ -204,7 +235,7 @@
                                                     {"shared_calls", shared_calls},
                                                     {"no_outcome_ever", no_outcome_ever},
                                                     {"early_wake", early_wake},
-      {"non_retriable", non_retriable},
+                                                    {"non_retriable", non_retriable},
                                                     {"deduped", deduped},
                                                     {"drain", drain},
                                                     {"cold_cap", cold_cap},
@@ -213,6 +244,9 @@
                                                     {"send_budget", send_budget},
                                                     {"overdue_undrawn", overdue_undrawn},
                                                     {"hang", hang},
+                                                    {"given_up", given_up},
+                                                    {"short_tries", short_tries},
+                                                    {"swallows", swallows},
                                                     {"list_lost", list_lost},
                                                     {"push_back", push_back}};
   for (const auto& [name, story] : all)
