--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -45,10 +45,9 @@
 // A send that so many later ones to its node have overtaken isn't queueing there: more than the parts a small
 // node runs side by side.
 constexpr int kOvertaken = 3;
-// Share of a node's sends that come to nothing, smoothed: past the most it is suspect, under half of it
-// cleared. Two bad ends in a row do it, one in four keeps it; sound nodes lose far less than one in a
-// hundred.
-constexpr double kLossGain = 1.0 / 4, kLossMost = 0.3, kLossGrave = 0.5;
+// Share of a node's sends that come to nothing, smoothed: from the most on it is suspect, under half of it cleared.
+// Four bad ends in a row do it; a node that loses one in four goes on being used, and its losses are made up for.
+constexpr double kLossGain = 1.0 / 4, kLossMost = 0.6;
 // A node this many times slower than the median of its peers is suspect; a trial at two thirds of that clears
 // it. Between the two, fewest-outstanding alone keeps a slow node's load down.
 constexpr double kSlowFactor = 3, kSlowCleared = 2;
@@ -192,10 +191,11 @@
       if (n.loss < kLossMost / 2) n.suspect_since = kNever, n.paces = 0;
     }
   }
-  // A send came to nothing, or looks so. A break or silence says more than a lone error.
+  // A send came to nothing, or looks so. A break or silence is enough by itself.
   void bad(Node& n, bool grave, Time usual, Time now) const {
-    n.loss = std::max(n.loss + kLossGain * (1 - n.loss), grave ? kLossGrave : 0);
-    if (n.loss > kLossMost) suspect_now(n, usual, now);
+    n.loss += kLossGain * (1 - n.loss);
+    if (grave) n.loss = std::max(n.loss, kLossMost);
+    if (n.loss >= kLossMost) suspect_now(n, usual, now);
   }
   // Marks a send that is overdue against what has been seen for like work, and one gone astray: the node has
   // answered nothing since, or has answered later sends first.
