--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -45,8 +45,9 @@
 // A send that so many later ones to its node have overtaken isn't queueing there: more than the parts a small
 // node runs side by side.
 constexpr int kOvertaken = 3;
-// Share of a node's sends that come to nothing, smoothed: from the most on it is suspect, under half of it cleared.
-// Four bad ends in a row do it; a node that loses one in four goes on being used, and its losses are made up for.
+// Share of a node's sends that come to nothing, smoothed: from the most on it is suspect, under half of it
+// cleared. Four bad ends in a row do it; a node that loses one in four goes on being used, and its losses are
+// made up for.
 constexpr double kLossGain = 1.0 / 4, kLossMost = 0.6;
 // A node this many times slower than the median of its peers is suspect; a trial at two thirds of that clears
 // it. Between the two, fewest-outstanding alone keeps a slow node's load down.
@@ -65,7 +66,7 @@
 // A part expected to take more than this share counts as a straggler in the draw: it stands in a queue of
 // several.
 constexpr double kStragglerShare = 0.25;
-// Past this share of the most-held limit only the most important multigets within their share are taken.
+// Past this share of the most-held limit only multigets within their tenant's share are taken.
 constexpr double kCrowdedShare = 0.8;
 // Span over which a tenant's multigets are held against its share: a few arrivals even of a small tenant.
 constexpr Time kShareSpan = 2 * kSecond;
@@ -262,6 +263,8 @@
   void set_clients(bool mark_retries) { marks_retries_ = mark_retries; }
   void set_tick(Time tick) { tick_ = tick; }
   Time tick() const { return tick_; }
+  void add_budget(Time latency_budget) { shortest_ = std::min(shortest_, latency_budget); }
+  Time shortest_budget() const { return shortest_; }
 
   // A majority vote tells the time that first tries come with: later ones differ, also from each other.
   void arrived(OpType& op, Time left) const {
@@ -289,15 +292,15 @@
 
  private:
   bool marks_retries_ = false;
-  Time tick_ = 0;
+  Time tick_ = 0, shortest_ = kNever;
 };
 
-// Which multigets go first when not all can be had.
+// Which multigets go first when not all can be had. Op types are not told apart: where load lasts, taking the
+// important ones first left the others with almost nothing.
 class Shares {
  public:
   void add_tenant(double quota_here) { tenants_.push_back({quota_here, {}}); }
   void set_most_held(int most_held) { most_held_ = most_held; }
-  void add_importance(double importance) { top_ = std::max(top_, importance); }
 
   bool over_share(const Multiget& mg, Time now) {
     if (mg.tenant >= static_cast<int>(tenants_.size()) || tenants_[mg.tenant].quota_here <= 0) return false;
@@ -308,9 +311,7 @@
   void taken(const Multiget& mg, Time now) {
     if (mg.tenant < static_cast<int>(tenants_.size())) tenants_[mg.tenant].recent.push_back(now);
   }
-  bool crowded_out(const Multiget& mg, int held, bool over_share) const {
-    return held > kCrowdedShare * most_held_ && (over_share || mg.op->importance < top_);
-  }
+  bool crowded(int held) const { return held > kCrowdedShare * most_held_; }
 
  private:
   struct Tenant {
@@ -319,7 +320,6 @@
   };
   std::vector<Tenant> tenants_;
   int most_held_ = 1 << 30;
-  double top_ = 0;
 };
 
 // Mechanism 6. Danger: a list that has stopped telling, and brokers that ask for it all at once. Also caught:
@@ -455,10 +455,13 @@
   // trouble. Harm: an estimate too high turns away what would have been in time; the client's own retry mends
   // some.
   std::optional<Decision> admit(Multiget& mg, Time now) {
-    const double left = seconds(lateness.budget_ends(mg) - now), wait = estimate(mg, now);
+    // Queues are kept to what the op type with the shortest budget can pass. Danger: one with a longer budget
+    // fills them up to its own, and the other is pushed back for good.
+    const double left = seconds(std::min(lateness.budget_ends(mg) - now, lateness.shortest_budget()));
+    const double wait = estimate(mg, now);
     const bool over_share = shares.over_share(mg, now);
     if (wait > (over_share ? kStressShare : kPushbackShare) * left ||
-        shares.crowded_out(mg, book.held(), over_share))
+        (over_share && shares.crowded(book.held())))
       return give_up(mg, static_cast<Time>(std::max(0.0, wait - kStressShare * left) * kSecond));
     shares.taken(mg, now);
     mg.admitted = true;
@@ -645,7 +648,7 @@
   // Until something has been seen: a quarter of the latency budget leaves time for one overdue send and a
   // copy.
   mine.usual = op.latency_budget / 4, mine.deviation = mine.usual / 4;
-  impl_->shares.add_importance(op.importance);
+  impl_->lateness.add_budget(op.latency_budget);
 }
 void Decider::add_tenant(double quota_per_second) {
   impl_->shares.add_tenant(quota_per_second / impl_->brokers);
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -225,6 +225,21 @@
   for (RequestId id = 5; id < 10; ++id) s.ask(id, {0});
 }
 
+void short_budget() {  // queues stay within the shortest budget of any op type, here 400 ms, not this one's 1
+                       // s
+  Story s(Story::op(), 1, 1);
+  OpType other = Story::op();
+  other.latency_budget = 400 * kMs;
+  s.d.add_op_type(other);
+  s.nodes(1);
+  for (RequestId id = 1; id < 5; ++id) {
+    s.ask(id, {0});
+    s.now += 100 * kMs;
+    s.back(id * 10, Outcome::ok);
+  }
+  for (RequestId id = 5; id < 9; ++id) s.ask(id, {0});
+}
+
 }  // namespace
 }  // namespace cairnhub
 
@@ -248,7 +263,8 @@
                                                     {"short_tries", short_tries},
                                                     {"swallows", swallows},
                                                     {"list_lost", list_lost},
-                                                    {"push_back", push_back}};
+                                                    {"push_back", push_back},
+                                                    {"short_budget", short_budget}};
   for (const auto& [name, story] : all)
     if (argc > 1 && std::strcmp(argv[1], name) == 0) return story(), 0;
   return 2;
