Clean-up after a read of the whole change, behaviour as before

Ending a multiget and calling off its sends stood three times; one function does both. Being suspect is a flag, its time was never read; a comment on silence moved to the line it explains; an unused return value and test parameter went.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -159,12 +159,10 @@
   Time overdue_after(const OpType& op) const {
     return std::max<Time>(2 * op.usual, op.usual + kOverdueDeviations * op.deviation);
   }
-  // Half the budget at the latest: a copy must still have its time. But twice what was expected of the node
-  // when the part was sent, so that a cold one, or one with a queue, isn't taken for silent.
+  // Half the budget at the latest: a copy must still have its time.
   Time silent_after(const OpType& op) const { return std::min(overdue_after(op), op.latency_budget / 2); }
-  bool suspect(const Node& n) const { return n.suspect_since != kNever; }
   // A suspect with nothing of ours out there is as good as any when it's due for a trial.
-  bool shunned(const Node& n, Time now) const { return suspect(n) && (now < n.next_trial || !n.out.empty()); }
+  bool shunned(const Node& n, Time now) const { return n.suspect && (now < n.next_trial || !n.out.empty()); }
   void tried(Node& n, Time usual, Time now) const {
     n.trial_wait = std::min<Time>(2 * n.trial_wait, Time{kTrialLatencies} * kTrialDoublings * usual);
     n.next_trial = now + n.trial_wait;
@@ -185,11 +183,11 @@
     if (!s.overdue) n.loss -= kLossGain * n.loss;
     for (Send* older : n.out)
       if (older->at < s.at) ++older->overtaken;
-    if (!suspect(n)) {
+    if (!n.suspect) {
       if (n.paces > kPacesBelieved && n.pace > kSlowFactor * peers) suspect_now(n, op.usual, now);
     } else if (pace <= kSlowCleared * peers && !s.overdue) {
       n.next_trial = now, n.trial_wait = kTrialLatencies * op.usual;
-      if (n.loss < kLossMost / 2) n.suspect_since = kNever, n.paces = 0;
+      if (n.loss < kLossMost / 2) n.suspect = false, n.paces = 0;
     }
   }
   // A send came to nothing, or looks so. A break or silence is enough by itself.
@@ -204,6 +202,8 @@
     if (s.ended || s.astray) return;
     const Time age = now - s.at;
     const bool overtaken = s.overtaken >= kOvertaken && age >= silent_after(op);
+    // Not before twice what was expected of the node: a cold one, or one with a queue, is slow without being
+    // silent.
     const bool silent = s.node->last_return <= s.at && age >= std::max(silent_after(op), 2 * s.expected);
     s.overdue = s.overdue || silent || overtaken || age >= overdue_after(op);
     if (!silent && !overtaken) return;
@@ -222,7 +222,7 @@
 
  private:
   void suspect_now(Node& n, Time usual, Time now) const {
-    if (!suspect(n)) n.suspect_since = now, n.trial_wait = kTrialLatencies * usual;
+    if (!std::exchange(n.suspect, true)) n.trial_wait = kTrialLatencies * usual;
     n.next_trial = now + n.trial_wait;
   }
 };
@@ -405,7 +405,7 @@
     else
       gate.further.further_send(now);
     if (spend) gate.further.spend();
-    if (judge.suspect(n)) judge.tried(n, p.multiget->op->usual, now);
+    if (n.suspect) judge.tried(n, p.multiget->op->usual, now);
     gate.cold.sent(n, now);
     if (joins_call(n)) {
       s->call = n.out.back()->call;
@@ -420,6 +420,12 @@
     return {Decision::Kind::send, p.id, n.id, 0, false, lateness.useful_until(*p.multiget) - now, 0};
   }
 
+  // Nothing more comes of the multiget, and what is still out for it is called off.
+  void end(Multiget& mg) {
+    book.end(mg);
+    for (auto& p : mg.parts) cancel_out(*p);
+  }
+
   void cancel_out(Part& p) {
     if (!may_cancel) return;
     for (auto& s : p.sends)
@@ -526,11 +532,13 @@
     if (mg.step == 1 && mg.op->second_step_parts > 0) {
       mg.phase = Phase::waiting_second_step;
       mg.first_step_whole = whole;
-      for (auto& p : mg.parts) p->over = true;
+      for (auto& p : mg.parts) {
+        p->over = true;
+        cancel_out(*p);
+      }
     } else {
-      book.end(mg);
+      end(mg);
     }
-    for (auto& p : mg.parts) cancel_out(*p);
     return {Decision::Kind::answer, mg.id, 0, 0, whole, 0, 0};
   }
 
@@ -539,8 +547,7 @@
     const bool harmless =
         mg.op->effect == Effect::retriable ||
         std::all_of(mg.parts.begin(), mg.parts.end(), [](auto& p) { return p->ran_never(); });
-    book.end(mg);
-    for (auto& p : mg.parts) cancel_out(*p);
+    end(mg);
     if (!harmless) return {Decision::Kind::fail, mg.id};
     const Time when = may_say_when ? std::min(come_back, longest_wait) : 0;
     return {Decision::Kind::push_back, mg.id, 0, 0, false, when, 0};
@@ -583,7 +590,7 @@
         if (p->drawn == undrawn || hopeful(*p) || (p->drawn && p->sends.empty())) continue;
         Node* n = pick(*p, now);
         const bool merely_slow = std::any_of(p->sends.begin(), p->sends.end(), [&](const auto& s) {
-          return !s->ended && !s->astray && !judge.suspect(*s->node);
+          return !s->ended && !s->astray && !s->node->suspect;
         });
         if (!n || (merely_slow && (n->calls_out > 0 || judge.shunned(*n, now)))) continue;
         p->drawn = true;
@@ -688,7 +695,7 @@
   n.named_in_list = impl_->lists;
   n.listed_ready = state == NodeState::ready;
   if (n.listed_ready && n.started != started) {  // another process: what was known of the last one is void
-    n.suspect_since = kNever, n.loss = 0, n.paces = 0;
+    n.suspect = false, n.loss = 0, n.paces = 0;
     n.started = started;
   }
   if (state != NodeState::gone) return;
@@ -767,8 +774,7 @@
 void Decider::multiget_abandoned(RequestId id) {
   Multiget* mg = impl_->book.multiget(id);
   if (!mg || mg->phase == Phase::ended) return;
-  impl_->book.end(*mg);
-  for (auto& p : mg->parts) impl_->cancel_out(*p);
+  impl_->end(*mg);
   impl_->book.look_at(*mg);
 }
 
--- a/src/model/book.h
+++ b/src/model/book.h
@@ -12,11 +12,12 @@
 
 class Book {
  public:
-  Multiget& add(std::unique_ptr<Multiget> mg) {
+  void add(std::unique_ptr<Multiget> mg) {
     ++held_;
     by_number_[mg->number] = mg.get();
     look_at(*mg);
-    return *(multigets_[mg->id] = std::move(mg));
+    const RequestId id = mg->id;
+    multigets_[id] = std::move(mg);
   }
   void add(Multiget& mg, std::unique_ptr<Part> p) {
     ++held_;
--- a/src/model/node.h
+++ b/src/model/node.h
@@ -45,10 +45,10 @@
   double pace = 0;     // latency / crowd
   long paces = 0;      // samples in pace
   double loss = 0;     // smoothed share of sends that came to nothing
-  Time suspect_since = kNever;
+  bool suspect = false;
   Time next_trial = 0;
   Time trial_wait = 0;
-  LoadReport report;            // what it last said of itself
+  LoadReport report;            // what it last said of itself; no decision uses it so far
   std::deque<Time> returns;     // good ends, oldest first
   std::deque<Time> cold_sends;  // sends while it was cold, oldest first
 };
--- a/tests/story.h
+++ b/tests/story.h
@@ -18,7 +18,7 @@
   std::multimap<Time, std::uint64_t> wakes;
   std::map<RequestId, int> sends;  // a part's sends so far
 
-  // One-part multigets need `need` of their parts; one cell holds a shard unless said otherwise.
+  // One op type, two brokers; a shard is held by `replicas` cells in a row, of one node each.
   explicit Story(OpType op, int cells = 2, int replicas = 2, int parts_a_call = 1, int send_limit = 3)
       : d(7) {
     d.set_brokers(2);
@@ -50,12 +50,12 @@
     pull();
   }
   // Multiget `id` with parts id*10, id*10+1 .. at these shards.
-  void ask(RequestId id, const std::vector<int>& shards, Time left = 3 * kSecond, bool pull_now = true) {
+  void ask(RequestId id, const std::vector<int>& shards, Time left = 3 * kSecond) {
     std::printf("%5lld  ask %u\n", ms(), id);
     const int k = static_cast<int>(shards.size());
     d.multiget_arrived(now, id, 0, 0, static_cast<float>(id), false, left);
     for (int i = 0; i < k; ++i) d.part_arrived(now, id * 10 + i, static_cast<float>(id), shards[i], 1.0 / k);
-    if (pull_now) pull();
+    pull();
   }
   void back(RequestId part, Outcome outcome, Time latency = 100 * kMs, int index = -1) {
     static const char* names[] = {"ok",    "error",     "full",    "timed out", "connect failed",
