Cold cap by credit from a random start (rule 4); fleet figures kept up to date at each event

Now credit gathers at cap x this broker's rate, from a random start at the moment the start is told; least rate: what a node that does parts one by one can do, shared out among the brokers.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -56,8 +56,11 @@
 constexpr int kPacesBelieved = 3;
 // A suspect is tried again after so many usual latencies, doubling up to so many times that.
 constexpr int kTrialLatencies = 4, kTrialDoublings = 8;
-// Part of the fall limit that one broker lets itself use; the rest is for parts heavier than the average.
-constexpr double kColdSafety = 0.7;
+// Part of the fall limit that the cold cap uses; the rest is for parts heavier than the average.
+constexpr double kColdSafety = 0.8;
+// Parts of credit that a broker may have saved up for a cold node: what one multiget may bring to a node that
+// holds several of its shards.
+constexpr double kColdSaved = 4;
 // A multiget is turned away when its estimate passes this share of the latency budget left: the estimate is a
 // mean, and the slowest of several parts comes later than that.
 constexpr double kPushbackShare = 0.75;
@@ -76,49 +79,51 @@
 constexpr std::uint64_t kListToken = ~std::uint64_t{0};
 
 // Rule 4, and mechanism 3. Danger: all brokers together push a cold node over. What this broker's parts get
-// done on the average warm node is surely within that node's capacity, and the sum over brokers is too,
-// however many there are and however traffic is spread over them; so a cold node gets that rate times its
-// present share and the fall multiple, less a safety. The best rate counts, not the latest: where many nodes
-// die at once little gets through, and a cap that fell with it would keep it so. Also caught: a restart loop.
-// Harm: with little traffic seen, a cold node warms up with less than it could bear.
+// done on the average node is surely within that node's capacity, and the sum over brokers is too, however
+// many there are and however traffic is spread over them; so a cold node gets that rate times its present
+// share and the fall multiple, less a safety. The best rate counts, not the latest: where many nodes die at
+// once little gets through, and a cap that fell with it would keep it so. One broker's share may come to a
+// part in many spans: credit gathers from a random start, so that a hundred brokers don't each send a first
+// part at once. Also caught: a restart loop. Harm: a part may find all holders of its shard without credit.
 class ColdCap {
  public:
   void set(double from, Time warm_after, double multiple, Time span) {
     from_ = from, warm_after_ = warm_after, multiple_ = multiple, span_ = std::max<Time>(span, 1);
   }
+  void set_brokers(int brokers) { brokers_ = brokers; }
   bool cold(const Node& n, Time now) const { return n.started > 0 && now - n.started < warm_after_; }
   double present_share(const Node& n, Time now) const {
     if (!cold(n, now)) return 1;
     return from_ + (1 - from_) * std::max(0.0, seconds(now - n.started) / seconds(warm_after_));
   }
-  bool allows(const Node& n, Time now) const {
+  // A first part is allowed at once with the chance that the cap is of the usual rate.
+  void started(Node& n, Time now, Chance& chance) const {
+    n.cold_credit = chance.unit() + kColdSafety * multiple_ * from_;
+    n.cold_credit_at = now;
+  }
+  bool allows(Node& n, Time now) const {
     if (!cold(n, now)) return true;
-    const auto sent =
-        std::count_if(n.cold_sends.begin(), n.cold_sends.end(), [&](Time t) { return t > now - span_; });
-    const double most = kColdSafety * multiple_ * present_share(n, now) * seconds(span_) * best_rate_;
-    return static_cast<double>(sent) + 1 <= std::max(1.0, most);
+    const double share = (present_share(n, n.cold_credit_at) + present_share(n, now)) / 2;
+    // Whatever has been seen, one that does parts one by one does this many, shared out among all brokers.
+    const double rate = std::max(best_rate_, 1 / (brokers_ * seconds(longest_usual_)));
+    n.cold_credit = std::min(kColdSaved, n.cold_credit + kColdSafety * multiple_ * share * rate *
+                                                           seconds(now - n.cold_credit_at));
+    n.cold_credit_at = now;
+    return n.cold_credit >= 1;
   }
   void sent(Node& n, Time now) const {
-    if (!cold(n, now)) return;
-    while (!n.cold_sends.empty() && n.cold_sends.front() <= now - span_) n.cold_sends.pop_front();
-    n.cold_sends.push_back(now);
+    if (cold(n, now)) n.cold_credit -= 1;
   }
+  void usual_is(Time usual) { longest_usual_ = std::max(longest_usual_, usual); }
   void returned(Node& n, Time now, Nodes& nodes) {
-    const Time since = now - 4 * span_;
-    n.returns.push_back(now);
-    while (n.returns.front() < since) n.returns.pop_front();
-    double count = 0, warm = 0;
-    nodes.each([&](const Node& each) {
-      if (!each.listed_ready || cold(each, now)) return;
-      ++warm;
-      count += std::count_if(each.returns.begin(), each.returns.end(), [&](Time t) { return t >= since; });
-    });
-    if (warm > 0) best_rate_ = std::max(best_rate_, count / warm / seconds(4 * span_));
+    nodes.returned(n, now, now - 4 * span_);
+    best_rate_ = std::max(best_rate_, nodes.mean_returns() / seconds(4 * span_));
   }
 
  private:
-  double from_ = 1, multiple_ = 1, best_rate_ = 0;  // parts a second returned by the average warm node
-  Time warm_after_ = 0, span_ = kSecond;
+  double from_ = 1, multiple_ = 1, best_rate_ = 0;  // parts a second returned by the average node
+  double brokers_ = 1;
+  Time warm_after_ = 0, span_ = kSecond, longest_usual_ = 1;
 };
 
 // Rule 6 where a budget is stated, and what this broker saves up for rescues everywhere.
@@ -174,11 +179,12 @@
     };
     op.deviation += gained(kDeviationGain, std::abs(latency - op.usual) - op.deviation);
     op.usual += gained(kMeanGain, latency - op.usual);
-    const double pace = seconds(latency) / (s.queue_before + 1), peers = median_pace(nodes);
+    const double pace = seconds(latency) / (s.queue_before + 1), peers = nodes.median_pace();
     const double gain = n.paces++ ? kNodeGain : 1;
     n.latency += gain * (seconds(latency) - n.latency);
     n.crowd += gain * (s.queue_before + 1 - n.crowd);
     n.pace = n.latency / n.crowd;  // weighs the answers that had to queue, unlike a mean of ratios
+    nodes.file(n);
     n.last_return = now;
     if (!s.overdue) n.loss -= kLossGain * n.loss;
     for (Send* older : n.out)
@@ -187,7 +193,7 @@
       if (n.paces > kPacesBelieved && n.pace > kSlowFactor * peers) suspect_now(n, op.usual, now);
     } else if (pace <= kSlowCleared * peers && !s.overdue) {
       n.next_trial = now, n.trial_wait = kTrialLatencies * op.usual;
-      if (n.loss < kLossMost / 2) n.suspect = false, n.paces = 0;
+      if (n.loss < kLossMost / 2) n.suspect = false, n.paces = 0, nodes.file(n);
     }
   }
   // A send came to nothing, or looks so. A break or silence is enough by itself.
@@ -210,16 +216,6 @@
     s.astray = true;
     bad(*s.node, silent, op.usual, now);
   }
-  double median_pace(Nodes& nodes) const {
-    std::vector<double> paces;
-    nodes.each([&](const Node& n) {
-      if (n.listed_ready && n.paces > 0) paces.push_back(n.pace);
-    });
-    if (paces.empty()) return 0;
-    std::nth_element(paces.begin(), paces.begin() + paces.size() / 2, paces.end());
-    return paces[paces.size() / 2];
-  }
-
  private:
   void suspect_now(Node& n, Time usual, Time now) const {
     if (!std::exchange(n.suspect, true)) n.trial_wait = kTrialLatencies * usual;
@@ -246,7 +242,7 @@
         if (!(s->ended && never_ran(s->outcome)) && now > s->at + mg.op->dedupe_window) return false;
     return true;
   }
-  bool may_send(const Part& p, const Node& n, Time now) {
+  bool may_send(const Part& p, Node& n, Time now) {
     return may_send(p, now) && n.listed_ready &&             // rule 3: at once, the grace isn't used
            cold.allows(n, now) &&                            // rule 4
            (p.sends.empty() || further.within_budget(now));  // rule 6
@@ -363,7 +359,7 @@
   std::deque<OpType> op_types;
   int brokers = 1, parts_a_call = 1;
   bool may_cancel = false, may_say_when = false, complete_list = false;
-  Time longest_wait = 0;
+  Time longest_wait = 0, listed_at = 0;
   std::deque<Decision> cancels;
   std::uint64_t turn = 1, lists = 0;
 
@@ -438,7 +434,7 @@
   // Latency to expect of a part sent to this node now, in seconds.
   double estimate(const Node& n, Time now) {
     const double pace =
-        n.paces > kPacesBelieved ? n.pace : judge.median_pace(nodes) / gate.cold.present_share(n, now);
+        n.paces > kPacesBelieved ? n.pace : nodes.median_pace() / gate.cold.present_share(n, now);
     return pace * (queue_at(n) + 1);
   }
 
@@ -649,13 +645,17 @@
 Decider::Decider(std::uint64_t seed) : impl_(std::make_unique<Impl>(seed)) {}
 Decider::~Decider() = default;
 
-void Decider::set_brokers(int brokers) { impl_->brokers = std::max(1, brokers); }
+void Decider::set_brokers(int brokers) {
+  impl_->brokers = std::max(1, brokers);
+  impl_->gate.cold.set_brokers(impl_->brokers);
+}
 void Decider::add_op_type(const OpType& op) {
   OpType& mine = impl_->op_types.emplace_back(op);
   // Until something has been seen: a quarter of the latency budget leaves time for one overdue send and a
   // copy.
   mine.usual = op.latency_budget / 4, mine.deviation = mine.usual / 4;
   impl_->lateness.add_budget(op.latency_budget);
+  impl_->gate.cold.usual_is(mine.usual);
 }
 void Decider::add_tenant(double quota_per_second) {
   impl_->shares.add_tenant(quota_per_second / impl_->brokers);
@@ -684,7 +684,8 @@
 
 void Decider::start() { impl_->list.start(); }
 
-void Decider::list_begins(bool complete) {
+void Decider::list_begins(Time now, bool complete) {
+  impl_->listed_at = now;
   impl_->complete_list = complete;
   ++impl_->lists;
 }
@@ -693,11 +694,13 @@
   Node& n = impl_->nodes.at(id);
   impl_->nodes.place(n, cell);
   n.named_in_list = impl_->lists;
-  n.listed_ready = state == NodeState::ready;
-  if (n.listed_ready && n.started != started) {  // another process: what was known of the last one is void
+  const bool ready = state == NodeState::ready;
+  if (ready && n.started != started) {  // another process: what was known of the last one is void
     n.suspect = false, n.loss = 0, n.paces = 0;
     n.started = started;
+    impl_->gate.cold.started(n, impl_->listed_at, impl_->chance);
   }
+  impl_->nodes.set_ready(n, ready);
   if (state != NodeState::gone) return;
   for (Send* s : n.out) {
     s->overdue = s->astray = true;
@@ -708,7 +711,9 @@
 void Decider::list_ends() {
   impl_->list.told();
   if (!impl_->complete_list) return;
-  impl_->nodes.each([&](Node& n) { n.listed_ready = n.listed_ready && n.named_in_list == impl_->lists; });
+  impl_->nodes.each([&](Node& n) {
+    if (n.named_in_list != impl_->lists) impl_->nodes.set_ready(n, false);
+  });
 }
 
 void Decider::list_failed(Time now) { impl_->list.failed(now, impl_->chance); }
@@ -759,6 +764,7 @@
   if (outcome == Outcome::ok) {
     m.judge.good(s, *mg.op, latency, now, m.nodes);
     m.gate.cold.returned(n, now, m.nodes);
+    m.gate.cold.usual_is(mg.op->usual);
     if (!p->over) p->returned = true;
     m.cancel_out(*p);
   } else if (broken || silent || outcome == Outcome::error || outcome == Outcome::full) {
--- a/src/decide.h
+++ b/src/decide.h
@@ -58,7 +58,7 @@
 
   // Inputs.
   void start();
-  void list_begins(bool complete);  // then list_node for each entry, then list_ends
+  void list_begins(Time now, bool complete);  // then list_node for each entry, then list_ends
   void list_node(NodeId id, NodeState state, Time started, int cell);
   void list_ends();
   void list_failed(Time now);
--- a/src/model/nodes.h
+++ b/src/model/nodes.h
@@ -1,9 +1,13 @@
-// All nodes ever listed, by id, and by the cell that tells which shards they hold.
+// All nodes ever listed, by id, and by the cell that tells which shards they hold; and the figures taken over
+// all of them, kept up to date so that no event costs more in a larger fleet.
 #pragma once
+#include <deque>
 #include <map>
 #include <memory>
+#include <utility>
 #include <vector>
 
+#include "model/median.h"
 #include "model/node.h"
 
 namespace cairnhub {
@@ -36,6 +40,29 @@
       for (Node* n : cells_[(shard + j) % cells_.size()]) found.push_back(n);
     return found;
   }
+  void set_ready(Node& node, bool ready) {
+    if (node.listed_ready != ready) {
+      node.listed_ready = ready;
+      ready_ += ready ? 1 : -1;
+      returns_of_ready_ += ready ? node.returned_lately : -node.returned_lately;
+    }
+    file(node);
+  }
+  // To be called when a node's pace has changed.
+  void file(Node& node) {
+    if (node.filed_pace >= 0) paces_.remove(node.filed_pace);
+    node.filed_pace = node.listed_ready && node.paces > 0 ? node.pace : -1;
+    if (node.filed_pace >= 0) paces_.add(node.filed_pace);
+  }
+  double median_pace() const { return paces_.get(); }  // of ready nodes whose pace is known
+
+  void returned(Node& node, Time now, Time since) {
+    returns_.emplace_back(now, &node);
+    count_return(node, 1);
+    for (; returns_.front().first < since; returns_.pop_front()) count_return(*returns_.front().second, -1);
+  }
+  double mean_returns() const { return ready_ ? static_cast<double>(returns_of_ready_) / ready_ : 0; }
+
   // In order of id.
   template <class F>
   void each(F f) {
@@ -43,9 +70,16 @@
   }
 
  private:
+  void count_return(Node& node, int by) {
+    node.returned_lately += by;
+    if (node.listed_ready) returns_of_ready_ += by;
+  }
   std::map<NodeId, std::unique_ptr<Node>> by_id_;
   std::vector<std::vector<Node*>> cells_;
   int replicas_ = 1;
+  Median paces_;
+  std::deque<std::pair<Time, Node*>> returns_;  // oldest first
+  int ready_ = 0, returns_of_ready_ = 0;
 };
 
 }  // namespace cairnhub
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -157,7 +157,7 @@
   if (how == 1) return d.list_failed(batch.now());
   const auto it = directories_.find(r.u32(6, "sheet"));
   if (it == directories_.end()) throw WireError("malformed event: sheet names no Directory");
-  d.list_begins(how != 2);
+  d.list_begins(batch.now(), how != 2);
   for (std::size_t at = 0; at < it->second.size(); at += kEntry) {
     const Bytes e(std::string_view(it->second).substr(at, kEntry), "entry");
     d.list_node(e.node(0, "node"), node_state(e.u8(6, "lifecycle")), e.time(7, "boot-time"),
