A node's pace counts from its first sample, fades with time, and knows of sends called off

A broker hears of a node every 8 s or more, so the four samples that made a pace believed never came; and parts of slow nodes are called off before they answer, so that only the fast ones were heard. Now the first sample counts in full, later ones by the time since the last; what was heard fades over ten latency budgets; a send called off or timed out counts as at least its age; and among equal counts of calls out, nodes slower than the median by steps of a square root of two come later (ties among the others stay random). Evidence that the node was not the cause: load, not speed, told the slow ones apart; they got four times the sends of the fast ones, as neighbouring shards are asked together and some are popular.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -20,6 +20,7 @@
 #include <algorithm>
 #include <cmath>
 #include <stdexcept>
+#include <tuple>
 #include <utility>
 
 #include "model/book.h"
@@ -52,6 +53,8 @@
 // A node this many times slower than the median of its peers is suspect; a trial at two thirds of that clears
 // it. Between the two, fewest-outstanding alone keeps a slow node's load down.
 constexpr double kSlowFactor = 3, kSlowCleared = 2;
+// What was heard of a node fades over so many of the shortest latency budget: the time that queues last.
+constexpr double kMemory = 10;
 // Answers after which a node's own pace is believed.
 constexpr int kPacesBelieved = 3;
 // A suspect is tried again after so many usual latencies, doubling up to so many times that.
@@ -161,6 +164,7 @@
 // together none is suspect.
 class Judge {
  public:
+  void add_budget(Time latency_budget) { shortest_budget_ = std::min(shortest_budget_, latency_budget); }
   Time overdue_after(const OpType& op) const {
     return std::max<Time>(2 * op.usual, op.usual + kOverdueDeviations * op.deviation);
   }
@@ -180,11 +184,7 @@
     op.deviation += gained(kDeviationGain, std::abs(latency - op.usual) - op.deviation);
     op.usual += gained(kMeanGain, latency - op.usual);
     const double pace = seconds(latency) / (s.queue_before + 1), peers = nodes.median_pace();
-    const double gain = n.paces++ ? kNodeGain : 1;
-    n.latency += gain * (seconds(latency) - n.latency);
-    n.crowd += gain * (s.queue_before + 1 - n.crowd);
-    n.pace = n.latency / n.crowd;  // weighs the answers that had to queue, unlike a mean of ratios
-    nodes.file(n);
+    heard(n, latency, s.queue_before + 1, now, nodes);
     n.last_return = now;
     if (!s.overdue) n.loss -= kLossGain * n.loss;
     for (Send* older : n.out)
@@ -196,6 +196,24 @@
       if (n.loss < kLossMost / 2) n.suspect = false, n.paces = 0, nodes.file(n);
     }
   }
+  // What a send tells of its node's pace: its latency, or at least so much if it has not been heard of.
+  void heard(Node& n, Time latency, int crowd, Time now, Nodes& nodes) const {
+    const double gain = n.paces++ ? std::max(kNodeGain, 1 - still_true(n, now)) : 1;
+    n.latency += gain * (seconds(latency) - n.latency);
+    n.crowd += gain * (crowd - n.crowd);
+    n.pace = n.latency / n.crowd;  // weighs the answers that had to queue, unlike a mean of ratios
+    n.paced_at = now;
+    nodes.file(n);
+  }
+  // How much of what was heard of a node counts still.
+  double still_true(const Node& n, Time now) const {
+    return n.paces ? std::exp(-seconds(now - n.paced_at) / (kMemory * seconds(shortest_budget_))) : 0;
+  }
+  void not_heard(const Send& s, Time now, Nodes& nodes) const {
+    const double age = seconds(now - s.at);
+    if (age > std::max(nodes.median_pace(), s.node->pace) * (s.queue_before + 1))
+      heard(*s.node, now - s.at, s.queue_before + 1, now, nodes);
+  }
   // A send came to nothing, or looks so. A break or silence is enough by itself.
   void bad(Node& n, bool grave, Time usual, Time now) const {
     n.loss += kLossGain * (1 - n.loss);
@@ -217,6 +235,8 @@
     bad(*s.node, silent, op.usual, now);
   }
  private:
+  Time shortest_budget_ = kNever;
+
   void suspect_now(Node& n, Time usual, Time now) const {
     if (!std::exchange(n.suspect, true)) n.trial_wait = kTrialLatencies * usual;
     n.next_trial = now + n.trial_wait;
@@ -373,7 +393,8 @@
   // adds none, so that call isn't counted against its node. Suspects come last.
   Node* pick(const Part& p, Time now) {
     Node* best = nullptr;
-    std::pair<bool, int> best_rank;
+    std::tuple<bool, int, int> best_rank;
+    const double median = nodes.median_pace();
     std::size_t ties = 0;
     for (Node* n : nodes.holders(p.shard)) {
       const bool has_it = std::any_of(p.sends.begin(), p.sends.end(), [&](const auto& s) {
@@ -381,7 +402,8 @@
       });
       if (has_it || !gate.may_send(p, *n, now)) continue;
       // Doubled, so that an open call ranks between the calls before it and one call fewer.
-      const std::pair rank(judge.shunned(*n, now), 2 * n->calls_out - (joins_call(*n) ? 3 : 0));
+      const int slower = n->paces > 0 && n->pace > 1.4 * median ? static_cast<int>(2*std::log2(n->pace / median)) : 0;
+      const std::tuple rank(judge.shunned(*n, now), 2 * n->calls_out - (joins_call(*n) ? 3 : 0), slower);
       if (best && rank > best_rank) continue;
       if (!best || rank < best_rank) ties = 0;
       if (chance.below(++ties) == 0) best = n;
@@ -433,8 +455,9 @@
 
   // Latency to expect of a part sent to this node now, in seconds.
   double estimate(const Node& n, Time now) {
-    const double pace =
-        n.paces > kPacesBelieved ? n.pace : nodes.median_pace() / gate.cold.present_share(n, now);
+    const double usual = nodes.median_pace() / gate.cold.present_share(n, now);
+    const double known = judge.still_true(n, now);
+    const double pace = usual + known * (n.pace - usual);
     return pace * (queue_at(n) + 1);
   }
 
@@ -655,6 +678,7 @@
   // copy.
   mine.usual = op.latency_budget / 4, mine.deviation = mine.usual / 4;
   impl_->lateness.add_budget(op.latency_budget);
+  impl_->judge.add_budget(op.latency_budget);
   impl_->gate.cold.usual_is(mine.usual);
 }
 void Decider::add_tenant(double quota_per_second) {
@@ -770,6 +794,7 @@
   } else if (broken || silent || outcome == Outcome::error || outcome == Outcome::full) {
     m.judge.bad(n, broken || silent, mg.op->usual, now);
   }
+  if (outcome == Outcome::cancelled || outcome == Outcome::timed_out) m.judge.not_heard(s, now, m.nodes);
   if (part_over && !p->returned) p->over = true;
   if (mg.phase == Phase::ended)
     m.book.forget_if_done(mg);
--- a/src/model/node.h
+++ b/src/model/node.h
@@ -44,6 +44,7 @@
   double crowd = 0;    // smoothed parts out when sent, itself included
   double pace = 0;     // latency / crowd
   long paces = 0;      // samples in pace
+  Time paced_at = 0;   // latest of them
   double loss = 0;     // smoothed share of sends that came to nothing
   bool suspect = false;
   Time next_trial = 0;
