Pushback share led by what came back late; tenants' shares and suspects by pace go

Cause: estimates are too low where queues grow, as a broker among a hundred hears of each node every ten seconds; what was let in came back late. Now each late multiget takes 0.15 off the share of the budget that an estimate may take (0.75 down to 0.2), each one in time or turned away gives 0.02 back. The pick and the estimate both fade what was heard (a node once slow was left to its peers for good: seen in the new trace heard_once).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -5,14 +5,12 @@
 // there is none. Inputs only update what is known; nothing is chosen outside next().
 //
 // The ordinary path is the design's (docs/design.md): draw n parts and a margin at random, each to the
-// replica with the fewest of this broker's calls out, answer on the first n. Beside it stand these
-// mechanisms:
-//   1. Suspects   a node that is silent, breaks, loses parts or is far slower than its peers is left alone,
-//   then tried
-//   2. Rescue     a send that is overdue or dead is made up for by an undrawn part, else a second copy
+// replica with the fewest of this broker's calls out, answer on the first n. Beside it stand six mechanisms:
+//   1. Suspects   a node that is silent, breaks or loses parts is left alone, then tried; slow ones come
+//   later
+//   2. Rescue     a send overdue or dead is made up for by an undrawn part, else a second copy
 //   3. Cold cap   a node that has just started gets no more than it can surely bear
-//   4. Pushback   a multiget that can't be in time is turned away at once; parts at jammed shards are drawn
-//   last
+//   4. Pushback   what can't be in time is turned away at once; parts at jammed shards are drawn last
 //   5. Lateness   what no longer earns anything ends at once
 //   6. List       the list is followed and its subscription kept up
 #include "decide.h"
@@ -50,13 +48,10 @@
 // cleared. Four bad ends in a row do it; a node that loses one in four goes on being used, and its losses are
 // made up for.
 constexpr double kLossGain = 1.0 / 4, kLossMost = 0.6;
-// A node this many times slower than the median of its peers is suspect; a trial at two thirds of that clears
-// it. Between the two, fewest-outstanding alone keeps a slow node's load down.
-constexpr double kSlowFactor = 3, kSlowCleared = 2;
 // What was heard of a node fades over so many of the shortest latency budget: the time that queues last.
 constexpr double kMemory = 10;
-// Answers after which a node's own pace is believed.
-constexpr int kPacesBelieved = 3;
+// The pick tells paces past the median apart in steps of this: about what one core more or less makes.
+constexpr double kPaceStep = 1.4;
 // A suspect is tried again after so many usual latencies, doubling up to so many times that.
 constexpr int kTrialLatencies = 4, kTrialDoublings = 8;
 // Part of the fall limit that the cold cap uses; the rest is for parts heavier than the average.
@@ -64,18 +59,16 @@
 // Parts of credit that a broker may have saved up for a cold node: what one multiget may bring to a node that
 // holds several of its shards.
 constexpr double kColdSaved = 4;
-// A multiget is turned away when its estimate passes this share of the latency budget left: the estimate is a
-// mean, and the slowest of several parts comes later than that.
-constexpr double kPushbackShare = 0.75;
-// Past this share traffic over its tenant's share is turned away.
-constexpr double kStressShare = 0.5;
+// A multiget is turned away when its estimate passes this share of the latency budget left: the most, as the
+// estimate is a mean and the slowest of several parts comes later, and the least that late ones bring it down
+// to. Each late one takes so much of it; each in time or turned away gives so much back: where one in ten is
+// late the share holds still.
+constexpr double kPushbackMost = 0.75, kPushbackLeast = 0.2, kPushbackDown = 0.15, kPushbackUp = 0.02;
+// One turned away is told to come back when the estimate has sunk to this much of the limit.
+constexpr double kComeBackShare = 2.0 / 3;
 // A part expected to take more than this share counts as a straggler in the draw: it stands in a queue of
 // several.
 constexpr double kStragglerShare = 0.25;
-// Past this share of the most-held limit only multigets within their tenant's share are taken.
-constexpr double kCrowdedShare = 0.8;
-// Span over which a tenant's multigets are held against its share: a few arrivals even of a small tenant.
-constexpr Time kShareSpan = 2 * kSecond;
 // Asking for the list again: first and longest wait, as shares of the interval at which asking is owed.
 constexpr int kListFirstWait = 20, kListLongestWait = 2;
 
@@ -109,8 +102,8 @@
     const double share = (present_share(n, n.cold_credit_at) + present_share(n, now)) / 2;
     // Whatever has been seen, one that does parts one by one does this many, shared out among all brokers.
     const double rate = std::max(best_rate_, 1 / (brokers_ * seconds(longest_usual_)));
-    n.cold_credit = std::min(kColdSaved, n.cold_credit + kColdSafety * multiple_ * share * rate *
-                                                           seconds(now - n.cold_credit_at));
+    n.cold_credit = std::min(
+        kColdSaved, n.cold_credit + kColdSafety * multiple_ * share * rate * seconds(now - n.cold_credit_at));
     n.cold_credit_at = now;
     return n.cold_credit >= 1;
   }
@@ -157,11 +150,10 @@
   std::deque<Time> taken_, sent_;
 };
 
-// Mechanism 1. Danger: a node that hangs, dies unlisted, answers errors fast (and so looks idle), loses some
-// of its parts or runs far slower than its peers draws or keeps parts. Judged by its own outcomes alone: the
-// list and load reports may be wrong. Also caught: a cut link seen by this broker only, full queues, restart
-// loops. Harm: when all of a shard's replicas look bad the least loaded is still asked; when most nodes slow
-// together none is suspect.
+// Mechanism 1. Danger: a node that hangs, dies unlisted, answers errors fast (and so looks idle) or loses
+// some of its parts draws or keeps parts. Judged by its own outcomes alone: the list and load reports may be
+// wrong. Also caught: a cut link seen by this broker only, full queues, restart loops. Harm: when all of a
+// shard's replicas look bad the least loaded is still asked.
 class Judge {
  public:
   void add_budget(Time latency_budget) { shortest_budget_ = std::min(shortest_budget_, latency_budget); }
@@ -178,23 +170,17 @@
   }
   void good(const Send& s, OpType& op, Time latency, Time now, Nodes& nodes) const {
     Node& n = *s.node;
-    const auto gained = [](double gain, Time by) {
-      return static_cast<Time>(gain * static_cast<double>(by));
-    };
+    const auto gained = [](double gain, Time by) { return static_cast<Time>(gain * by); };
     op.deviation += gained(kDeviationGain, std::abs(latency - op.usual) - op.deviation);
     op.usual += gained(kMeanGain, latency - op.usual);
-    const double pace = seconds(latency) / (s.queue_before + 1), peers = nodes.median_pace();
     heard(n, latency, s.queue_before + 1, now, nodes);
     n.last_return = now;
     if (!s.overdue) n.loss -= kLossGain * n.loss;
     for (Send* older : n.out)
       if (older->at < s.at) ++older->overtaken;
-    if (!n.suspect) {
-      if (n.paces > kPacesBelieved && n.pace > kSlowFactor * peers) suspect_now(n, op.usual, now);
-    } else if (pace <= kSlowCleared * peers && !s.overdue) {
-      n.next_trial = now, n.trial_wait = kTrialLatencies * op.usual;
-      if (n.loss < kLossMost / 2) n.suspect = false, n.paces = 0, nodes.file(n);
-    }
+    if (!n.suspect || s.overdue) return;
+    n.next_trial = now, n.trial_wait = kTrialLatencies * op.usual;
+    if (n.loss < kLossMost / 2) n.suspect = false;
   }
   // What a send tells of its node's pace: its latency, or at least so much if it has not been heard of.
   void heard(Node& n, Time latency, int crowd, Time now, Nodes& nodes) const {
@@ -209,6 +195,9 @@
   double still_true(const Node& n, Time now) const {
     return n.paces ? std::exp(-seconds(now - n.paced_at) / (kMemory * seconds(shortest_budget_))) : 0;
   }
+  double believed_pace(const Node& n, double usual, Time now) const {
+    return usual + still_true(n, now) * (n.pace - usual);
+  }
   void not_heard(const Send& s, Time now, Nodes& nodes) const {
     const double age = seconds(now - s.at);
     if (age > std::max(nodes.median_pace(), s.node->pace) * (s.queue_before + 1))
@@ -234,6 +223,7 @@
     s.astray = true;
     bad(*s.node, silent, op.usual, now);
   }
+
  private:
   Time shortest_budget_ = kNever;
 
@@ -311,31 +301,19 @@
   Time tick_ = 0, shortest_ = kNever;
 };
 
-// Which multigets go first when not all can be had. Op types are not told apart: where load lasts, taking the
-// important ones first left the others with almost nothing.
-class Shares {
+// How much of the latency budget left an estimate may take. Danger: a broker among a hundred hears of each
+// node every ten seconds, so that estimates are too low just where queues grow; what it let in and got back
+// late says so. Also caught: anything else that makes estimates too low. Harm: where few nodes are at fault,
+// multigets that might just have been in time at others are turned away too.
+class Pushback {
  public:
-  void add_tenant(double quota_here) { tenants_.push_back({quota_here, {}}); }
-  void set_most_held(int most_held) { most_held_ = most_held; }
-
-  bool over_share(const Multiget& mg, Time now) {
-    if (mg.tenant >= static_cast<int>(tenants_.size()) || tenants_[mg.tenant].quota_here <= 0) return false;
-    auto& [quota, recent] = tenants_[mg.tenant];
-    while (!recent.empty() && recent.front() < now - kShareSpan) recent.pop_front();
-    return static_cast<double>(recent.size()) > quota * seconds(kShareSpan);
-  }
-  void taken(const Multiget& mg, Time now) {
-    if (mg.tenant < static_cast<int>(tenants_.size())) tenants_[mg.tenant].recent.push_back(now);
-  }
-  bool crowded(int held) const { return held > kCrowdedShare * most_held_; }
+  double share() const { return share_; }
+  void late() { share_ = std::max(kPushbackLeast, (1 - kPushbackDown) * share_); }
+  // In time, or turned away: without the latter a broker that turns all away would never learn better.
+  void eased() { share_ = std::min(kPushbackMost, share_ + kPushbackUp); }
 
  private:
-  struct Tenant {
-    double quota_here;
-    std::deque<Time> recent;
-  };
-  std::vector<Tenant> tenants_;
-  int most_held_ = 1 << 30;
+  double share_ = kPushbackMost;
 };
 
 // Mechanism 6. Danger: a list that has stopped telling, and brokers that ask for it all at once. Also caught:
@@ -374,7 +352,7 @@
   Judge judge;
   Gate gate;
   Lateness lateness;
-  Shares shares;
+  Pushback pushback;
   ListWatch list;
   std::deque<OpType> op_types;
   int brokers = 1, parts_a_call = 1;
@@ -389,12 +367,20 @@
     return n.open_turn == turn && n.open_call && n.open_call->parts < parts_a_call;
   }
 
-  // The design's pick: fewest of this broker's calls out, ties at random. A part that joins a call with room
-  // adds none, so that call isn't counted against its node. Suspects come last.
+  // Steps by which a node is slower than the median. Danger: a broker among many has hardly ever a call out
+  // at a node, so that counts of them say nothing of queues. Also caught: reports that lie, as none is used.
+  // Harm: a node that was slow for a moment is left to the others until that fades.
+  int steps_slower(const Node& n, Time now) const {
+    const double times = judge.believed_pace(n, nodes.median_pace(), now) / nodes.median_pace();
+    return times > 1 ? static_cast<int>(std::log(times) / std::log(kPaceStep)) : 0;
+  }
+
+  // The design's pick: fewest of this broker's calls out, ties at random among nodes not known to be slow. A
+  // part that joins a call with room adds none, so that call isn't counted against its node. Suspects come
+  // last.
   Node* pick(const Part& p, Time now) {
     Node* best = nullptr;
     std::tuple<bool, int, int> best_rank;
-    const double median = nodes.median_pace();
     std::size_t ties = 0;
     for (Node* n : nodes.holders(p.shard)) {
       const bool has_it = std::any_of(p.sends.begin(), p.sends.end(), [&](const auto& s) {
@@ -402,8 +388,8 @@
       });
       if (has_it || !gate.may_send(p, *n, now)) continue;
       // Doubled, so that an open call ranks between the calls before it and one call fewer.
-      const int slower = n->paces > 0 && n->pace > 1.4 * median ? static_cast<int>(2*std::log2(n->pace / median)) : 0;
-      const std::tuple rank(judge.shunned(*n, now), 2 * n->calls_out - (joins_call(*n) ? 3 : 0), slower);
+      const std::tuple rank(judge.shunned(*n, now), 2 * n->calls_out - (joins_call(*n) ? 3 : 0),
+                            steps_slower(*n, now));
       if (best && rank > best_rank) continue;
       if (!best || rank < best_rank) ties = 0;
       if (chance.below(++ties) == 0) best = n;
@@ -439,7 +425,8 @@
   }
 
   // Nothing more comes of the multiget, and what is still out for it is called off.
-  void end(Multiget& mg) {
+  void end(Multiget& mg, bool in_time) {
+    if (mg.admitted) in_time ? pushback.eased() : pushback.late();
     book.end(mg);
     for (auto& p : mg.parts) cancel_out(*p);
   }
@@ -456,9 +443,7 @@
   // Latency to expect of a part sent to this node now, in seconds.
   double estimate(const Node& n, Time now) {
     const double usual = nodes.median_pace() / gate.cold.present_share(n, now);
-    const double known = judge.still_true(n, now);
-    const double pace = usual + known * (n.pace - usual);
-    return pace * (queue_at(n) + 1);
+    return judge.believed_pace(n, usual, now) * (queue_at(n) + 1);
   }
 
   // Latency to expect of a multiget: that of the slowest part it can't do without.
@@ -484,11 +469,11 @@
     // fills them up to its own, and the other is pushed back for good.
     const double left = seconds(std::min(lateness.budget_ends(mg) - now, lateness.shortest_budget()));
     const double wait = estimate(mg, now);
-    const bool over_share = shares.over_share(mg, now);
-    if (wait > (over_share ? kStressShare : kPushbackShare) * left ||
-        (over_share && shares.crowded(book.held())))
-      return give_up(mg, static_cast<Time>(std::max(0.0, wait - kStressShare * left) * kSecond));
-    shares.taken(mg, now);
+    if (wait > pushback.share() * left) {
+      pushback.eased();
+      return give_up(
+          mg, static_cast<Time>(std::max(0.0, wait - kComeBackShare * pushback.share() * left) * kSecond));
+    }
     mg.admitted = true;
     draw(mg, kStragglerShare * left);
     return std::nullopt;
@@ -540,14 +525,14 @@
       any = any || p->returned;
       if (p->returned || may_come(*p, now)) possible += p->weight;
     }
-    if (any && in >= needed(mg)) return answer(mg, mg.step == 1 || mg.first_step_whole);
+    if (any && in >= needed(mg)) return answer(mg, mg.step == 1 || mg.first_step_whole, now);
     if (now < lateness.useful_until(mg) && possible >= needed(mg)) return std::nullopt;
     const bool partial_allowed = mg.op->least < mg.op->need - kWeightSlack && mg.op->partial_share > 0;
-    if (any && partial_allowed && in >= mg.op->least) return answer(mg, false);
+    if (any && partial_allowed && in >= mg.op->least) return answer(mg, false, now);
     return give_up(mg, longest_wait);
   }
 
-  Decision answer(Multiget& mg, bool whole) {
+  Decision answer(Multiget& mg, bool whole, Time now) {
     if (mg.step == 1 && mg.op->second_step_parts > 0) {
       mg.phase = Phase::waiting_second_step;
       mg.first_step_whole = whole;
@@ -556,7 +541,7 @@
         cancel_out(*p);
       }
     } else {
-      end(mg);
+      end(mg, now <= lateness.budget_ends(mg));
     }
     return {Decision::Kind::answer, mg.id, 0, 0, whole, 0, 0};
   }
@@ -566,7 +551,7 @@
     const bool harmless =
         mg.op->effect == Effect::retriable ||
         std::all_of(mg.parts.begin(), mg.parts.end(), [](auto& p) { return p->ran_never(); });
-    end(mg);
+    end(mg, false);
     if (!harmless) return {Decision::Kind::fail, mg.id};
     const Time when = may_say_when ? std::min(come_back, longest_wait) : 0;
     return {Decision::Kind::push_back, mg.id, 0, 0, false, when, 0};
@@ -681,9 +666,6 @@
   impl_->judge.add_budget(op.latency_budget);
   impl_->gate.cold.usual_is(mine.usual);
 }
-void Decider::add_tenant(double quota_per_second) {
-  impl_->shares.add_tenant(quota_per_second / impl_->brokers);
-}
 void Decider::set_layout(int cells, int replicas_in_a_row, int parts_a_call) {
   impl_->nodes.layout(cells, replicas_in_a_row);
   impl_->parts_a_call = std::max(1, parts_a_call);
@@ -695,8 +677,7 @@
 void Decider::set_send_budget(double free, double share, Time window) {
   impl_->gate.further.set(free, share, window);
 }
-void Decider::set_pushback(int most_held, bool may_say_when, Time longest_wait) {
-  impl_->shares.set_most_held(most_held);
+void Decider::set_pushback(bool may_say_when, Time longest_wait) {
   impl_->may_say_when = may_say_when, impl_->longest_wait = longest_wait;
 }
 void Decider::set_clients(bool mark_retries) { impl_->lateness.set_clients(mark_retries); }
@@ -742,13 +723,13 @@
 
 void Decider::list_failed(Time now) { impl_->list.failed(now, impl_->chance); }
 
-void Decider::multiget_arrived(Time now, RequestId id, int op_type, int tenant, float number,
-                               bool client_retry, Time time_left) {
+void Decider::multiget_arrived(Time now, RequestId id, int op_type, float number, bool client_retry,
+                               Time time_left) {
   Impl& m = *impl_;
   if (op_type < 0 || op_type >= static_cast<int>(m.op_types.size()))
     throw std::out_of_range("multiget of an unknown op type");
   auto mg = std::make_unique<Multiget>();
-  mg->id = id, mg->op = &m.op_types[op_type], mg->tenant = tenant, mg->number = number;
+  mg->id = id, mg->op = &m.op_types[op_type], mg->number = number;
   mg->client_retry = client_retry, mg->arrived = now, mg->expires = now + time_left;
   m.lateness.arrived(*mg->op, time_left);
   m.gate.further.taken(now);
@@ -805,7 +786,7 @@
 void Decider::multiget_abandoned(RequestId id) {
   Multiget* mg = impl_->book.multiget(id);
   if (!mg || mg->phase == Phase::ended) return;
-  impl_->end(*mg);
+  impl_->end(*mg, false);
   impl_->book.look_at(*mg);
 }
 
--- a/src/decide.h
+++ b/src/decide.h
@@ -46,11 +46,10 @@
   // Settings, once, before the first input; brokers first.
   void set_brokers(int brokers);
   void add_op_type(const OpType& op);
-  void add_tenant(double quota_per_second);
   void set_layout(int cells, int replicas_in_a_row, int parts_a_call);
   void set_sends(int most_a_part, bool second_copies, bool cancel);
   void set_send_budget(double free, double share, Time window);  // not called: no budget stated
-  void set_pushback(int most_held, bool may_say_when, Time longest_wait);
+  void set_pushback(bool may_say_when, Time longest_wait);
   void set_clients(bool mark_retries);
   void set_cold(double cold_from, Time warm_after, double fall_multiple, Time fall_span);
   void set_list(bool must_subscribe, Time ask_every);
@@ -62,8 +61,7 @@
   void list_node(NodeId id, NodeState state, Time started, int cell);
   void list_ends();
   void list_failed(Time now);
-  void multiget_arrived(Time now, RequestId id, int op_type, int tenant, float number, bool client_retry,
-                        Time time_left);
+  void multiget_arrived(Time now, RequestId id, int op_type, float number, bool client_retry, Time time_left);
   void part_arrived(Time now, RequestId id, float number, int shard, double weight);
   void send_ended(Time now, RequestId part, int send_index, Outcome outcome, Time latency, bool part_over,
                   const LoadReport& report);
--- a/src/model/book.h
+++ b/src/model/book.h
@@ -13,14 +13,12 @@
 class Book {
  public:
   void add(std::unique_ptr<Multiget> mg) {
-    ++held_;
     by_number_[mg->number] = mg.get();
     look_at(*mg);
     const RequestId id = mg->id;
     multigets_[id] = std::move(mg);
   }
   void add(Multiget& mg, std::unique_ptr<Part> p) {
-    ++held_;
     parts_[p->id] = p.get();
     mg.parts.push_back(std::move(p));
     look_at(mg);
@@ -28,7 +26,6 @@
   Multiget* multiget(RequestId id) const { return find(multigets_, id); }
   Multiget* numbered(float number) const { return find(by_number_, number); }
   Part* part(RequestId id) const { return find(parts_, id); }
-  int held() const { return held_; }  // multigets and parts not ended
 
   void look_at(Multiget& mg) {
     if (mg.queued) return;
@@ -46,7 +43,6 @@
   void end(Multiget& mg) {
     mg.phase = Phase::ended;
     for (auto& p : mg.parts) p->over = true;
-    held_ -= 1 + static_cast<int>(mg.parts.size());
     by_number_.erase(mg.number);
   }
   // An ended multiget is kept until the last of its sends has come back.
@@ -68,7 +64,6 @@
   std::unordered_map<RequestId, Part*> parts_;
   std::map<float, Multiget*> by_number_;
   std::deque<Multiget*> agenda_;
-  int held_ = 0;
 };
 
 }  // namespace cairnhub
--- a/src/model/multiget.h
+++ b/src/model/multiget.h
@@ -67,7 +67,6 @@
 struct Multiget {
   RequestId id = 0;
   OpType* op = nullptr;
-  int tenant = 0;
   float number = 0;  // shared by the multiget and its parts
   bool client_retry = false;
   Time arrived = 0;
--- a/src/model/node.h
+++ b/src/model/node.h
@@ -49,11 +49,11 @@
   bool suspect = false;
   Time next_trial = 0;
   Time trial_wait = 0;
-  LoadReport report;            // what it last said of itself; no decision uses it so far
-  int returned_lately = 0;      // good ends within the span that the node table keeps
-  double cold_credit = 0;       // parts that it may be sent while cold
+  LoadReport report;        // what it last said of itself; no decision uses it so far
+  int returned_lately = 0;  // good ends within the span that the node table keeps
+  double cold_credit = 0;   // parts that it may be sent while cold
   Time cold_credit_at = 0;
-  double filed_pace = -1;       // as the node table has it among the paces; below 0 = not there
+  double filed_pace = -1;  // as the node table has it among the paces; below 0 = not there
 };
 
 }  // namespace cairnhub
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -124,7 +124,7 @@
       if (shard > 1e6f) throw WireError("malformed event: segment-no is out of range");
       const std::uint16_t flags = r.u16(7, "opts");
       if (shard < 0) {
-        d.multiget_arrived(now, id, r.u8(21, "tier-class"), r.u16(5, "party"), number, (flags & 2) != 0,
+        d.multiget_arrived(now, id, r.u8(21, "tier-class"), number, (flags & 2) != 0,
                            r.time(38, "time-budget"));
       } else {
         d.part_arrived(now, id, number, static_cast<int>(shard), amount);
--- a/src/wirehost/settings.cpp
+++ b/src/wirehost/settings.cpp
@@ -117,12 +117,6 @@
   const int op_types = s.whole("classes.count");
   if (op_types < 1 || op_types > 256) complain("classes.count", "is out of range");
   for (int i = 0; i < op_types; ++i) decider.add_op_type(read_op_type(s, i));
-  const int tenants = s.whole("tenants.count", 0);
-  if (tenants < 0 || tenants > 65536) complain("tenants.count", "is out of range");
-  for (int i = 0; i < tenants; ++i) {
-    const std::string at = "tenants." + std::to_string(i) + ".";
-    decider.add_tenant(s.number(at + "quota-per-s", 0));
-  }
   const int cells = s.whole("family-info.positions"), width = s.whole("family-info.width");
   if (cells < 1 || cells > 65536) complain("family-info.positions", "is out of range");
   if (width < 1 || width > cells) complain("family-info.width", "is out of range");
@@ -132,8 +126,7 @@
   if (s.has("rules.resend-span"))
     decider.set_send_budget(s.number("rules.budget-free", 0), s.number("rules.extra-ratio", 0),
                             s.span("rules.resend-span"));
-  decider.set_pushback(s.whole("ceilings.most-held", 1e9), s.flag("ceilings.retry-after", false),
-                       s.span("ceilings.max-retry-after", 0));
+  decider.set_pushback(s.flag("ceilings.retry-after", false), s.span("ceilings.max-retry-after", 0));
   decider.set_clients(s.flag("callers.marks-retry", false));
   decider.set_cold(s.number("rules.cold-from", 1), s.span("rules.cold", 0),
                    s.number("rules.fall-multiple", 1), s.span("rules.overload-for", 1));
--- a/tests/story.h
+++ b/tests/story.h
@@ -25,7 +25,7 @@
     d.add_op_type(op);
     d.set_layout(cells, replicas, parts_a_call);
     d.set_sends(send_limit, true, true);
-    d.set_pushback(1000, true, kSecond);
+    d.set_pushback(true, kSecond);
     d.set_tick(5 * kMs);
     d.set_cold(0.2, 10 * kSecond, 2, kSecond);
   }
@@ -53,7 +53,7 @@
   void ask(RequestId id, const std::vector<int>& shards, Time left = 3 * kSecond) {
     std::printf("%5lld  ask %u\n", ms(), id);
     const int k = static_cast<int>(shards.size());
-    d.multiget_arrived(now, id, 0, 0, static_cast<float>(id), false, left);
+    d.multiget_arrived(now, id, 0, static_cast<float>(id), false, left);
     for (int i = 0; i < k; ++i) d.part_arrived(now, id * 10 + i, static_cast<float>(id), shards[i], 1.0 / k);
     pull();
   }
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -93,15 +93,23 @@
   s.ask(3, {0});
 }
 
-void cold_cap() {  // rule 4: the only replica has just started: credit for a part or two, then more as it warms
+void cold_cap() {  // rule 4: the only replica has just started: a part now and then, more as it warms
   Story s(Story::op(), 1, 1);
   s.now = kSecond;
   s.nodes(1, kSecond);
-  for (RequestId id = 1; id <= 12; ++id) {
-    s.ask(id, {0});
-    if (s.sends[id * 10]) s.back(id * 10, Outcome::ok);
-    s.run_to(1000 + 500 * id);
+  std::string sent;  // of four asked each second
+  for (RequestId id = 1; id <= 40; ++id) {
+    s.d.multiget_arrived(s.now, id, 0, static_cast<float>(id), false, kSecond);
+    s.d.part_arrived(s.now, id * 10, static_cast<float>(id), 0, 1);
+    const auto x = s.d.next(s.now);
+    const bool goes = x && x->kind == Decision::Kind::send;
+    if (goes) s.d.send_ended(s.now, id * 10, 0, Outcome::ok, 100 * kMs, true, {});
+    while (s.d.next(s.now)) continue;
+    s.now += 250 * kMs;
+    sent += goes ? "+" : "-";
+    if (id % 4 == 0) sent += ' ';
   }
+  std::printf("%s\n", sent.c_str());
 }
 
 void cold_sum() {  // rule 4: a hundred brokers hear of one start; far from each of them sends a part at once
@@ -116,7 +124,7 @@
     d.list_node(1, NodeState::ready, kSecond, 0);
     d.list_ends();
     const auto sends = [&](Time now, RequestId id) {
-      d.multiget_arrived(now, id, 0, 0, static_cast<float>(id), false, 3 * kSecond);
+      d.multiget_arrived(now, id, 0, static_cast<float>(id), false, 3 * kSecond);
       d.part_arrived(now, id + 1, static_cast<float>(id), 0, 1);
       const auto x = d.next(now);
       return x && x->kind == Decision::Kind::send;
@@ -249,6 +257,24 @@
   for (RequestId id = 5; id < 10; ++id) s.ask(id, {0});
 }
 
+void heard_once() {  // one sample tells a slow node, here of a part called off after 0.4 s; it fades in time
+  Story s(Story::op(), 3, 3);
+  s.nodes(3);
+  for (RequestId id = 1; id < 4; ++id) s.ask(id, {0});
+  s.run_to(100);
+  s.back(10, Outcome::ok);
+  s.back(20, Outcome::ok);
+  s.run_to(400);
+  s.d.multiget_abandoned(3);
+  s.pull();
+  s.back(30, Outcome::cancelled, 400 * kMs);
+  for (RequestId id = 4; id < 14; ++id) {
+    if (id == 8) s.run_to(60000);
+    s.ask(id, {0});
+    s.back(id * 10, Outcome::ok);
+  }
+}
+
 void short_budget() {  // queues stay within the shortest budget of any op type, here 400 ms, not this one's 1
                        // s
   Story s(Story::op(), 1, 1);
@@ -289,6 +315,7 @@
                                                     {"swallows", swallows},
                                                     {"list_lost", list_lost},
                                                     {"push_back", push_back},
+                                                    {"heard_once", heard_once},
                                                     {"short_budget", short_budget}};
   for (const auto& [name, story] : all)
     if (argc > 1 && std::strcmp(argv[1], name) == 0) return story(), 0;
