A full queue makes a suspect at once, and its part goes elsewhere without a saved-up rescue

Cause: the hung nodes' queues were full of other brokers' parts, so that they failed fast and looked idle (evidence: parts ended there after a few ms as full, while the nodes themselves had answered nothing); a broker meets each too seldom for four bad ends in a row, and rescues ran out.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -583,9 +583,7 @@
     if (coming >= needed(mg)) return std::nullopt;
     for (Part* p : open) {  // proved never to have run: at once elsewhere
       if (p->sends.empty() || p->out() || !p->ran_never()) continue;
-      const bool spend = p->sends.back()->outcome == Outcome::full;
-      Node* n = spend && !gate.further.saved() ? nullptr : pick(*p, now);
-      if (n) return send(*p, *n, now, spend);
+      if (Node* n = pick(*p, now)) return send(*p, *n, now, false);
     }
     // Copies only while they can be in time.
     if (!gate.further.saved() || !time_for_copies(mg, now)) return std::nullopt;
@@ -773,7 +771,7 @@
     if (!p->over) p->returned = true;
     m.cancel_out(*p);
   } else if (broken || silent || outcome == Outcome::error || outcome == Outcome::full) {
-    m.judge.bad(n, broken || silent, mg.op->usual, now);
+    m.judge.bad(n, broken || silent || outcome == Outcome::full, mg.op->usual, now);
   }
   if (outcome == Outcome::cancelled || outcome == Outcome::timed_out) m.judge.not_heard(s, now, m.nodes);
   if (part_over && !p->returned) p->over = true;
