--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -61,9 +61,9 @@
 constexpr double kColdSaved = 4;
 // A multiget is turned away when its estimate passes this share of the latency budget left: the most, as the
 // estimate is a mean and the slowest of several parts comes later, and the least that late ones bring it down
-// to. Each late one takes so much of it; each in time or turned away gives so much back: where one in ten is
+// to. Each late one takes so much of it; each in time or turned away gives so much back: where one in fifteen is
 // late the share holds still.
-constexpr double kPushbackMost = 0.75, kPushbackLeast = 0.2, kPushbackDown = 0.15, kPushbackUp = 0.02;
+constexpr double kPushbackMost = 0.75, kPushbackLeast = 0.2, kPushbackDown = 0.25, kPushbackUp = 0.02;
 // One turned away is told to come back when the estimate has sunk to this much of the limit.
 constexpr double kComeBackShare = 2.0 / 3;
 // A part expected to take more than this share counts as a straggler in the draw: it stands in a queue of
