A part lost while answers are quick pays for its own rescue

Where answers take less than a quarter of the budget, load isn't at fault: the evidence for loss is the quick answers beside it.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -37,6 +37,9 @@
 constexpr double kRescueShare = 0.1;
 // Most further sends saved up: about what one node that dies under load holds of one broker's parts.
 constexpr double kRescueMost = 16;
+// A part lost while answers take less than one in this many of the latency budget pays for its own rescue:
+// the node that lost it, not load, is at fault then, and there is room for the copy.
+constexpr int kQuick = 4;
 // Smoothing of latencies and the deviations past the usual after which a send is overdue: TCP's
 // retransmission timer (RFC 6298). A node's own latency, seen less often, is smoothed over half as many.
 constexpr double kMeanGain = 1.0 / 8, kDeviationGain = 1.0 / 4, kNodeGain = 1.0 / 4;
@@ -141,6 +144,7 @@
   }
   bool saved() const { return saved_ >= 1; }
   void spend() { saved_ -= 1; }
+  void lost() { saved_ = std::min(kRescueMost, saved_ + 1); }
   void first_send() { saved_ = std::min(kRescueMost, saved_ + kRescueShare); }
   void further_send(Time now) {
     if (window_ > 0) sent_.push_back(now);
@@ -214,19 +218,20 @@
     if (grave) n.loss = std::max(n.loss, kLossMost);
     if (n.loss >= kLossMost) suspect_now(n, usual, now);
   }
-  // Marks a send that is overdue against what has been seen for like work, and one gone astray: the node has
-  // answered nothing since, or has answered later sends first.
-  void look_at(Send& s, const OpType& op, Time now) const {
-    if (s.ended || s.astray) return;
+  // Whether the send has just gone astray. Marks one that is overdue against what has been seen for like
+  // work, and one gone astray: the node has answered nothing since, or has answered later sends first.
+  bool look_at(Send& s, const OpType& op, Time now) const {
+    if (s.ended || s.astray) return false;
     const Time age = now - s.at;
     const bool overtaken = s.overtaken >= kOvertaken && age >= silent_after(op);
     // Not before twice what was expected of the node: a cold one, or one with a queue, is slow without being
     // silent.
     const bool silent = s.node->last_return <= s.at && age >= std::max(silent_after(op), 2 * s.expected);
     s.overdue = s.overdue || silent || overtaken || age >= overdue_after(op);
-    if (!silent && !overtaken) return;
+    if (!silent && !overtaken) return false;
     s.astray = true;
     bad(*s.node, silent, op.usual, now);
+    return true;
   }
 
  private:
@@ -631,7 +636,9 @@
       if (!mg.admitted)
         if (auto d = admit(mg, now)) return d;
       for (auto& p : mg.parts)
-        for (auto& s : p->sends) judge.look_at(*s, *mg.op, now);
+        for (auto& s : p->sends)
+          if (judge.look_at(*s, *mg.op, now) && kQuick * mg.op->usual < mg.op->latency_budget)
+            gate.further.lost();
       if (auto d = send_next(mg, now)) return d;
     } else if (now >= lateness.useful_until(mg)) {
       return give_up(mg, longest_wait);
