--- a/tests/story.h
+++ b/tests/story.h
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "decide.h"
@@ -17,6 +18,7 @@
   Time now = 0;
   std::multimap<Time, std::uint64_t> wakes;
   std::map<RequestId, int> sends;  // a part's sends so far
+  bool said = false;               // something stands on this line already
 
   // One op type, two brokers; a shard is held by `replicas` cells in a row, of one node each.
   explicit Story(OpType op, int cells = 2, int replicas = 2, int parts_a_call = 1, int send_limit = 3)
@@ -43,7 +45,7 @@
     d.list_ends();
   }
   void change(NodeId id, NodeState state, Time started = 0) {
-    std::printf("%5lld  list: node %llu %s\n", ms(), id_of(id), state == NodeState::ready ? "ready" : "away");
+    say("list: node %llu %s", id_of(id), state == NodeState::ready ? "ready" : "away");
     d.list_begins(now, false);
     d.list_node(id, state, started, static_cast<int>(id) - 1);
     d.list_ends();
@@ -51,7 +53,7 @@
   }
   // Multiget `id` with parts id*10, id*10+1 .. at these shards.
   void ask(RequestId id, const std::vector<int>& shards, Time left = 3 * kSecond) {
-    std::printf("%5lld  ask %u\n", ms(), id);
+    say("ask %u", id);
     const int k = static_cast<int>(shards.size());
     d.multiget_arrived(now, id, 0, static_cast<float>(id), false, left);
     for (int i = 0; i < k; ++i) d.part_arrived(now, id * 10 + i, static_cast<float>(id), shards[i], 1.0 / k);
@@ -61,12 +63,13 @@
     static const char* names[] = {"ok",    "error",     "full",    "timed out", "connect failed",
                                   "reset", "cancelled", "not sent"};
     const int i = index < 0 ? sends[part] - 1 : index;
-    std::printf("%5lld  back %u.%d %s\n", ms(), part, i, names[static_cast<int>(outcome)]);
+    say("back %u.%d %s", part, i, names[static_cast<int>(outcome)]);
     d.send_ended(now, part, i, outcome, latency, outcome == Outcome::ok, {});
     pull();
   }
   void pull() {
     while (const auto x = d.next(now)) show(*x);
+    if (std::exchange(said, false)) std::printf("\n");
   }
   void run_to(long long at_ms) {
     while (!wakes.empty() && wakes.begin()->first <= at_ms * kMs) {
@@ -81,21 +84,28 @@
  private:
   long long ms() const { return now / kMs; }
   static unsigned long long id_of(NodeId id) { return id; }
+  // A line for each input, or wake-up that brings something, with the decisions it led to.
+  template <class... Args>
+  void say(const char* format, Args... args) {
+    if (std::exchange(said, true))
+      std::printf("; ");
+    else
+      std::printf("%5lld  ", ms());
+    std::printf(format, args...);
+  }
   void show(const Decision& x) {
     using K = Decision::Kind;
     if (x.kind == K::wake) {
       wakes.emplace(now + x.span, x.token);
       return;
     }
-    std::printf("%5lld    ", ms());
-    if (x.kind == K::send)
-      std::printf("send %u.%d to node %llu\n", x.request, sends[x.request]++, id_of(x.node));
-    if (x.kind == K::cancel) std::printf("cancel %u.%d\n", x.request, x.send_index);
-    if (x.kind == K::answer) std::printf("answer %u %s\n", x.request, x.whole ? "whole" : "in part");
+    if (x.kind == K::send) say("send %u.%d to node %llu", x.request, sends[x.request]++, id_of(x.node));
+    if (x.kind == K::cancel) say("cancel %u.%d", x.request, x.send_index);
+    if (x.kind == K::answer) say("answer %u %s", x.request, x.whole ? "whole" : "in part");
     if (x.kind == K::push_back)
-      std::printf("push back %u, come back in %lld\n", x.request, static_cast<long long>(x.span / kMs));
-    if (x.kind == K::fail) std::printf("fail %u\n", x.request);
-    if (x.kind == K::subscribe) std::printf("subscribe\n");
+      say("push back %u, come back in %lld", x.request, static_cast<long long>(x.span / kMs));
+    if (x.kind == K::fail) say("fail %u", x.request);
+    if (x.kind == K::subscribe) say("subscribe");
   }
 };
 
