--- a/src/wirehost/settings.cpp
+++ b/src/wirehost/settings.cpp
@@ -113,7 +113,9 @@
 
 void apply_settings(std::string_view text, Decider& decider, std::vector<std::string>& report_fields) {
   const Settings s(text);
-  decider.set_brokers(s.whole("balancers", 1));
+  const int brokers = s.whole("balancers", 1);
+  if (brokers < 1) complain("balancers", "is out of range");
+  decider.set_brokers(brokers);
   const int op_types = s.whole("classes.count");
   if (op_types < 1 || op_types > 256) complain("classes.count", "is out of range");
   for (int i = 0; i < op_types; ++i) decider.add_op_type(read_op_type(s, i));
--- a/tests/frames.cpp
+++ b/tests/frames.cpp
@@ -54,7 +54,7 @@
 }
 
 const std::string kSettings =
-    "classes.count=1\nclasses.0.promise=1.5\nclasses.0.deadline=4.0\nunknown.key=x\n"
+    "balancers=2\nclasses.count=1\nclasses.0.promise=1.5\nclasses.0.deadline=4.0\nunknown.key=x\n"
     "family-info.positions=12\nfamily-info.width=3\nload-info.fields=avg_ms,rps,active\n";
 const std::string kAbout3 = bytes("0b 03000000 +43"),
                   kArrival = bytes(
@@ -115,4 +115,7 @@
   settings("unparsable setting", "promise=1.5", "promise=soon");
   settings("infinite setting", "deadline=4.0", "deadline=inf");
   settings("cells out of range", "positions=12", "positions=0");
+  settings("cells by the thousand", "positions=12", "positions=65000");
+  settings("brokers by the thousand", "balancers=2", "balancers=50000");
+  settings("no brokers", "balancers=2", "balancers=0");
 }
