--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -6,8 +6,7 @@
 //
 // The ordinary path is the design's (docs/design.md): draw n parts and a margin at random, each to the
 // replica with the fewest of this broker's calls out, answer on the first n. Beside it stand six mechanisms:
-//   1. Suspects   a node that is silent, breaks or loses parts is left alone, then tried; slow ones come
-//   later
+//   1. Suspects   a node that is silent, breaks, is full or loses parts is left alone; slow ones come later
 //   2. Rescue     a send overdue or dead is made up for by an undrawn part, else a second copy
 //   3. Cold cap   a node that has just started gets no more than it can surely bear
 //   4. Pushback   what can't be in time is turned away at once; parts at jammed shards are drawn last
@@ -41,7 +40,8 @@
 // the node that lost it, not load, is at fault then, and there is room for the copy.
 constexpr int kQuick = 4;
 // Smoothing of latencies and the deviations past the usual after which a send is overdue: TCP's
-// retransmission timer (RFC 6298). A node's own latency, seen less often, is smoothed over half as many.
+// retransmission timer (RFC 6298). A node's own latency, heard of less often, is smoothed over half as many
+// at most.
 constexpr double kMeanGain = 1.0 / 8, kDeviationGain = 1.0 / 4, kNodeGain = 1.0 / 4;
 constexpr int kOverdueDeviations = 4;
 // A send that so many later ones to its node have overtaken isn't queueing there: more than the parts a small
@@ -55,7 +55,7 @@
 constexpr double kMemory = 10;
 // The median of paces is followed by steps of this at each answer: it is that of the last seconds' answers.
 constexpr double kMedianStep = 1.0 / 32;
-// The pick tells paces past the median apart in steps of this: about what one core more or less makes.
+// The pick tells paces past the usual apart in steps of this: about what one core more or less makes.
 constexpr double kPaceStep = 1.4;
 // A suspect is tried again after so many usual latencies, doubling up to so many times that.
 constexpr int kTrialLatencies = 4, kTrialDoublings = 8;
@@ -156,10 +156,11 @@
   std::deque<Time> taken_, sent_;
 };
 
-// Mechanism 1. Danger: a node that hangs, dies unlisted, answers errors fast (and so looks idle) or loses
-// some of its parts draws or keeps parts. Judged by its own outcomes alone: the list and load reports may be
-// wrong. Also caught: a cut link seen by this broker only, full queues, restart loops. Harm: when all of a
-// shard's replicas look bad the least loaded is still asked.
+// Mechanism 1. Danger: a node that hangs, dies unlisted, answers errors fast or turns parts away at once as
+// its queue is full of parts that it will never do (and so looks idle), or loses some parts, draws or keeps
+// them. Judged by its own outcomes alone: the list and load reports may be wrong. Also caught: a cut link
+// seen by this broker only, full queues, restart loops. Harm: when all of a shard's replicas look bad the
+// least loaded is still asked.
 class Judge {
  public:
   void add_budget(Time latency_budget) { shortest_budget_ = std::min(shortest_budget_, latency_budget); }
@@ -191,7 +192,9 @@
     n.next_trial = now, n.trial_wait = kTrialLatencies * op.usual;
     if (n.loss < kLossMost / 2) n.suspect = false;
   }
-  // What a send tells of its node's pace: its latency, or at least so much if it has not been heard of.
+  // What a send tells of its node's pace: its latency, or at least so much if it hasn't been heard of.
+  // Danger: parts of slow nodes are called off before they answer, so that only the quick ones are heard.
+  // Harm: a part lost alone at its node looks like a slow one.
   void heard(Node& n, Time latency, int crowd, Time now) const {
     const double gain = n.paces++ ? std::max(kNodeGain, 1 - still_true(n, now)) : 1;
     n.latency += gain * (seconds(latency) - n.latency);
@@ -378,11 +381,12 @@
     return n.open_turn == turn && n.open_call && n.open_call->parts < parts_a_call;
   }
 
-  // Steps by which a node is slower than the median. Danger: a broker among many has hardly ever a call out
+  // Steps by which a node is slower than the usual. Danger: a broker among many has hardly ever a call out
   // at a node, so that counts of them say nothing of queues. Also caught: reports that lie, as none is used.
   // Harm: a node that was slow for a moment is left to the others until that fades.
   int steps_slower(const Node& n, Time now) const {
-    const double times = judge.believed_pace(n, judge.usual_pace(), now) / judge.usual_pace();
+    const double usual = judge.usual_pace();
+    const double times = usual > 0 ? judge.believed_pace(n, usual, now) / usual : 1;  // 0: none answered yet
     return times > 1 ? static_cast<int>(std::log(times) / std::log(kPaceStep)) : 0;
   }
 
