--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -283,6 +283,30 @@
   for (RequestId id = 2; id < 5; ++id) s.ask(id, {0});
 }
 
+void unheard_node() {  // parts lost at one node don't make a node that hasn't been heard of look slow
+  Story s(Story::op(), 3, 1);
+  s.nodes(3);
+  s.ask(1, {0});
+  s.back(10, Outcome::ok);
+  s.ask(2, {1});
+  s.run_to(900);
+  s.d.multiget_abandoned(2);
+  s.pull();
+  s.back(20, Outcome::cancelled, 900 * kMs);
+  s.ask(3, {2});
+}
+
+void lost_pay() {  // eight nodes in turn lose a part while the others are quick: each is made up for
+  Story s(Story::op(), 16, 2);
+  s.nodes(16);
+  for (RequestId id = 1; id < 9; ++id) {
+    s.ask(id, {2 * static_cast<int>(id - 1)});
+    s.run_to(1000 * id - 400);
+    s.back(id * 10, Outcome::ok);
+    s.run_to(1000 * id);
+  }
+}
+
 void late_ones() {  // each late multiget takes from the share of the budget that an estimate may take
   Story s(Story::op(), 1, 1);
   s.nodes(1);
@@ -338,6 +362,8 @@
                                                     {"heard_once", heard_once},
                                                     {"full_queue", full_queue},
                                                     {"late_ones", late_ones},
+                                                    {"unheard_node", unheard_node},
+                                                    {"lost_pay", lost_pay},
                                                     {"short_budget", short_budget}};
   for (const auto& [name, story] : all)
     if (argc > 1 && std::strcmp(argv[1], name) == 0) return story(), 0;
