--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -164,6 +164,7 @@
 class Judge {
  public:
   void add_budget(Time latency_budget) { shortest_budget_ = std::min(shortest_budget_, latency_budget); }
+  Time shortest_budget() const { return shortest_budget_; }
   Time overdue_after(const OpType& op) const {
     return std::max<Time>(2 * op.usual, op.usual + kOverdueDeviations * op.deviation);
   }
@@ -283,8 +284,6 @@
   void set_clients(bool mark_retries) { marks_retries_ = mark_retries; }
   void set_tick(Time tick) { tick_ = tick; }
   Time tick() const { return tick_; }
-  void add_budget(Time latency_budget) { shortest_ = std::min(shortest_, latency_budget); }
-  Time shortest_budget() const { return shortest_; }
 
   // A majority vote tells the time that first tries come with: later ones differ, also from each other.
   void arrived(OpType& op, Time left) const {
@@ -312,7 +311,7 @@
 
  private:
   bool marks_retries_ = false;
-  Time tick_ = 0, shortest_ = kNever;
+  Time tick_ = 0;
 };
 
 // How much of the latency budget left an estimate may take. Danger: a broker among a hundred hears of each
@@ -369,7 +368,7 @@
   Pushback pushback;
   ListWatch list;
   std::deque<OpType> op_types;
-  int brokers = 1, parts_a_call = 1;
+  int parts_a_call = 1;
   bool may_cancel = false, may_say_when = false, complete_list = false;
   Time longest_wait = 0, listed_at = 0;
   std::deque<Decision> cancels;
@@ -482,7 +481,7 @@
   std::optional<Decision> admit(Multiget& mg, Time now) {
     // Queues are kept to what the op type with the shortest budget can pass. Danger: one with a longer budget
     // fills them up to its own, and the other is pushed back for good.
-    const double left = seconds(std::min(lateness.budget_ends(mg) - now, lateness.shortest_budget()));
+    const double left = seconds(std::min(lateness.budget_ends(mg) - now, judge.shortest_budget()));
     const double wait = estimate(mg, now);
     if (wait > pushback.share() * left) {
       pushback.eased();
@@ -668,16 +667,12 @@
 Decider::Decider(std::uint64_t seed) : impl_(std::make_unique<Impl>(seed)) {}
 Decider::~Decider() = default;
 
-void Decider::set_brokers(int brokers) {
-  impl_->brokers = std::max(1, brokers);
-  impl_->gate.cold.set_brokers(impl_->brokers);
-}
+void Decider::set_brokers(int brokers) { impl_->gate.cold.set_brokers(std::max(1, brokers)); }
 void Decider::add_op_type(const OpType& op) {
   OpType& mine = impl_->op_types.emplace_back(op);
   // Until something has been seen: a quarter of the latency budget leaves time for one overdue send and a
   // copy.
   mine.usual = op.latency_budget / 4, mine.deviation = mine.usual / 4;
-  impl_->lateness.add_budget(op.latency_budget);
   impl_->judge.add_budget(op.latency_budget);
   impl_->gate.cold.usual_is(mine.usual);
 }
@@ -780,6 +775,7 @@
   }
   if (report.held >= 0 || report.busy >= 0 || report.service_ms >= 0) n.report = report;
   const bool broken = outcome == Outcome::connect_failed || outcome == Outcome::reset;
+  const bool full = outcome == Outcome::full;
   const bool silent = outcome == Outcome::timed_out && n.last_return <= s.at && !s.astray;
   if (outcome == Outcome::ok) {
     m.judge.good(s, *mg.op, latency, now);
@@ -787,8 +783,8 @@
     m.gate.cold.usual_is(mg.op->usual);
     if (!p->over) p->returned = true;
     m.cancel_out(*p);
-  } else if (broken || silent || outcome == Outcome::error || outcome == Outcome::full) {
-    m.judge.bad(n, broken || silent || outcome == Outcome::full, mg.op->usual, now);
+  } else if (const bool grave = broken || silent || full; grave || outcome == Outcome::error) {
+    m.judge.bad(n, grave, mg.op->usual, now);
   }
   if (outcome == Outcome::cancelled || outcome == Outcome::timed_out) m.judge.not_heard(s, now);
   if (part_over && !p->returned) p->over = true;
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -93,17 +93,22 @@
   s.ask(3, {0});
 }
 
+// Tells of a multiget with one part, id + 1, at shard 0: whether the part is sent at once.
+bool sent_at_once(Decider& d, Time now, RequestId id, Time left) {
+  d.multiget_arrived(now, id, 0, static_cast<float>(id), false, left);
+  d.part_arrived(now, id + 1, static_cast<float>(id), 0, 1);
+  const auto x = d.next(now);
+  return x && x->kind == Decision::Kind::send;
+}
+
 void cold_cap() {  // rule 4: the only replica has just started: a part now and then, more as it warms
   Story s(Story::op(), 1, 1);
   s.now = kSecond;
   s.nodes(1, kSecond);
   std::string sent;  // of four asked each second
   for (RequestId id = 1; id <= 40; ++id) {
-    s.d.multiget_arrived(s.now, id, 0, static_cast<float>(id), false, kSecond);
-    s.d.part_arrived(s.now, id * 10, static_cast<float>(id), 0, 1);
-    const auto x = s.d.next(s.now);
-    const bool goes = x && x->kind == Decision::Kind::send;
-    if (goes) s.d.send_ended(s.now, id * 10, 0, Outcome::ok, 100 * kMs, true, {});
+    const bool goes = sent_at_once(s.d, s.now, id * 10, kSecond);
+    if (goes) s.d.send_ended(s.now, id * 10 + 1, 0, Outcome::ok, 100 * kMs, true, {});
     while (s.d.next(s.now)) continue;
     s.now += 250 * kMs;
     sent += goes ? "+" : "-";
@@ -123,16 +128,10 @@
     d.list_begins(kSecond, true);
     d.list_node(1, NodeState::ready, kSecond, 0);
     d.list_ends();
-    const auto sends = [&](Time now, RequestId id) {
-      d.multiget_arrived(now, id, 0, static_cast<float>(id), false, 3 * kSecond);
-      d.part_arrived(now, id + 1, static_cast<float>(id), 0, 1);
-      const auto x = d.next(now);
-      return x && x->kind == Decision::Kind::send;
-    };
-    if (sends(kSecond, 10))
+    if (sent_at_once(d, kSecond, 10, 3 * kSecond))
       ++first;
     else
-      later += sends(2 * kSecond, 20);
+      later += sent_at_once(d, 2 * kSecond, 20, 3 * kSecond);
   }
   std::printf("a part at once from %d of 100 brokers, within the next span from %d\n", first, later);
 }
