--- /dev/null
+++ b/src/broker/admit.cpp
@@ -0,0 +1,104 @@
+#include "broker/admit.h"
+
+#include <charconv>
+#include <cmath>
+#include <cstring>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace cairnhub::broker {
+
+namespace {
+
+// What one multiget may take: its body as text and as JSON, the values of its parts, and the answer.
+constexpr std::size_t kMostBytes = 4 * 65536;
+// Share of the process's memory for multigets in hand; the rest is for connections and the program.
+constexpr std::size_t kMemoryShare = 2;
+constexpr std::size_t kLongestName = 128;
+
+bool number(const char* text, double& into) {
+  const char* end = text + std::strlen(text);
+  const auto [at, error] = std::from_chars(text, end, into);
+  return error == std::errc{} && at == end && std::isfinite(into);
+}
+
+bool plain_name(std::string_view name) {
+  if (name.empty() || name.size() > kLongestName) return false;
+  for (const char c : name)
+    if (c <= ' ' || c > '~') return false;
+  return true;
+}
+
+}  // namespace
+
+Admit::Admit(const settings::Settings& s, std::size_t memory, Book& book, Route& route)
+    : shards_(s.whole("family-info.ranges")),
+      most_(std::max<std::size_t>(1, memory / kMemoryShare / kMostBytes)),
+      book_(book),
+      route_(route) {
+  for (int i = 0; i < s.whole("classes.count"); ++i) {
+    const std::string at = "classes." + std::to_string(i) + ".";
+    op_types_[s.text(at + "name", "")] = {i, s.span(at + "deadline")};
+  }
+}
+
+RequestId Admit::take(const Asked& asked, std::unique_ptr<Client> client) {
+  auto query = std::make_unique<Query>();
+  if (const char* wrong = read(asked, *query)) {
+    client->answer(std::strcmp(wrong, "no such op type") == 0 ? 404 : 400, "", std::string(wrong) + "\n");
+    return 0;
+  }
+  // Danger: a flood. Nothing of it has been sent, so trying again is harmless.
+  if (shut_ || book_.held() >= most_) {
+    client->answer(503, "", shut_ ? "shutting down\n" : "too many in hand\n");
+    return 0;
+  }
+  query->client = std::move(client);
+  const RequestId id = book_.next_id();
+  route_.arrived(std::move(query));
+  return id;
+}
+
+// What is wrong with it, or null.
+const char* Admit::read(const Asked& asked, Query& q) const {
+  const auto op = op_types_.find(std::string(asked.op_type));
+  if (op == op_types_.end()) return "no such op type";
+  if (!asked.op_type_said || asked.op_type != asked.op_type_said)
+    return "X-Lane is missing or not that of the path";
+  if (!asked.name || !plain_name(asked.name)) return "X-Txn is missing or not a plain word";
+  if (book_.holds(asked.name)) return "X-Txn is that of a request in hand";
+  double left = 0;
+  if (!asked.time_left || !number(asked.time_left, left) || left <= 0)
+    return "X-Remaining is missing or not a time";
+  q.name = asked.name;
+  q.op_type = op->second.index;
+  q.left = static_cast<Time>(std::min(left, seconds(op->second.route_timeout)) * kSecond);
+  q.client_retry = asked.retry && std::strcmp(asked.retry, "1") == 0;
+
+  const auto json = nlohmann::json::parse(asked.body, nullptr, false);
+  if (!json.is_object()) return "the body is not a JSON object";
+  const auto text = json.find("body"), parts = json.find("buckets");
+  if (text == json.end() || !text->is_string()) return "body is missing or not text";
+  if (parts == json.end() || !parts->is_array() || parts->empty())
+    return "buckets is missing or not a list of parts";
+  q.text = text->get<std::string>();
+  std::set<int> named;
+  for (const auto& p : *parts) {
+    if (!p.is_object()) return "a part is not an object";
+    const auto shard = p.find("bucket"), weight = p.find("part");
+    if (shard == p.end() || !shard->is_number_unsigned() ||
+        shard->get<std::uint64_t>() >= static_cast<std::uint64_t>(shards_))
+      return "a part names no shard that exists";
+    if (weight == p.end() || !weight->is_number() || !std::isfinite(weight->get<double>()) ||
+        weight->get<double>() < 0 || weight->get<double>() > 1.001)
+      return "a part's share is not a number from 0 to 1";
+    if (!named.insert(shard->get<int>()).second) return "a shard is named twice";
+    auto part = std::make_unique<Part>();
+    part->shard = shard->get<int>(), part->weight = weight->get<double>();
+    part->name = q.name + "." + std::to_string(part->shard);
+    q.parts.push_back(std::move(part));
+  }
+  return nullptr;
+}
+
+}  // namespace cairnhub::broker
--- /dev/null
+++ b/src/broker/book.cpp
@@ -0,0 +1,93 @@
+#include "broker/book.h"
+
+#include "broker/clock.h"
+
+namespace cairnhub::broker {
+
+namespace {
+
+// No answer to a client holds more.
+constexpr std::size_t kValuesMost = 65536;
+
+Outcome outcome(const Result& r) {
+  switch (r.end) {
+    case End::returned:
+      return Outcome::ok;
+    case End::error:
+      return Outcome::error;
+    case End::full:
+      return Outcome::full;
+    case End::broken:
+      return r.reached == Reached::wholly_written ? Outcome::reset : Outcome::connect_failed;
+    case End::timed_out:
+      return r.reached == Reached::wholly_written ? Outcome::timed_out : Outcome::not_sent;
+    case End::given_up:
+      return r.reached == Reached::wholly_written ? Outcome::cancelled : Outcome::not_sent;
+  }
+  return Outcome::error;
+}
+
+}  // namespace
+
+Query& Book::open(std::unique_ptr<Query> query) {
+  Query& q = *query;
+  q.id = ++last_id_;
+  for (auto& p : q.parts) {
+    p->id = ++last_id_;
+    p->query = &q;
+    parts_[p->id] = p.get();
+  }
+  names_[q.name] = &q;
+  queries_[q.id] = std::move(query);
+  return q;
+}
+
+Query* Book::query(RequestId id) const {
+  const auto it = queries_.find(id);
+  return it == queries_.end() ? nullptr : it->second.get();
+}
+
+Part* Book::part(RequestId id) const {
+  const auto it = parts_.find(id);
+  return it == parts_.end() ? nullptr : it->second;
+}
+
+void Book::ended(Errand& e, const Result& result) {
+  e.ended = true;
+  Part& p = *e.part;
+  Query& q = *p.query;
+  Outcome how = outcome(result);
+  if (how == Outcome::ok && q.client && !p.value) {
+    // Danger: values without bound. One that can't stand in any answer is as good as none.
+    if (q.value_bytes + result.value.size() > kValuesMost)
+      how = Outcome::error;
+    else
+      p.value = result.value, q.value_bytes += result.value.size();
+  }
+  notes_.push_back({p.id, e.index, how, now() - e.sent_at});
+  forget_if_done(q);
+}
+
+bool Book::hand_over() {
+  const auto notes = std::exchange(notes_, {});
+  for (const Note& n : notes)  // the report that came along is not read: no decision uses it
+    decider_.send_ended(now(), n.part, n.index, n.outcome, n.latency, n.outcome == Outcome::ok, {});
+  return !notes.empty();
+}
+
+void Book::close(Query& q) {
+  q.client.reset();
+  names_.erase(q.name);
+  forget_if_done(q);
+}
+
+void Book::forget_if_done(Query& q) {
+  if (q.client) return;
+  for (const auto& p : q.parts)
+    for (const auto& e : p->errands)
+      if (!e->ended) return;
+  for (const auto& p : q.parts) parts_.erase(p->id);
+  queries_.erase(q.id);
+}
+
+}  // namespace cairnhub::broker
--- /dev/null
+++ b/src/broker/book.h
@@ -0,0 +1,45 @@
+// The book of multigets in hand: finds what the decisions name, notes how sends ended, and hands that back to
+// the decider.
+#pragma once
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "broker/query.h"
+#include "broker/send.h"
+
+namespace cairnhub::broker {
+
+class Book {
+ public:
+  explicit Book(Decider& decider) : decider_(decider) {}
+
+  Query& open(std::unique_ptr<Query> query);          // gives it and its parts their ids
+  RequestId next_id() const { return last_id_ + 1; }  // of the next opened
+  Query* query(RequestId id) const;
+  Part* part(RequestId id) const;
+  bool holds(const std::string& name) const { return names_.count(name) != 0; }
+  std::size_t held() const { return names_.size(); }
+
+  void ended(Errand& errand, const Result& result);
+  bool hand_over();          // what was noted goes to the decider; false where there was nothing
+  void close(Query& query);  // answered or abandoned: kept until its last send has ended
+
+ private:
+  struct Note {
+    RequestId part;
+    int index;
+    Outcome outcome;
+    Time latency;
+  };
+  void forget_if_done(Query& query);
+
+  Decider& decider_;
+  RequestId last_id_ = 0;
+  std::unordered_map<RequestId, std::unique_ptr<Query>> queries_;  // looked up, never walked
+  std::unordered_map<RequestId, Part*> parts_;
+  std::unordered_map<std::string, Query*> names_;  // of those still open
+  std::vector<Note> notes_;
+};
+
+}  // namespace cairnhub::broker
--- /dev/null
+++ b/src/broker/members.cpp
@@ -0,0 +1,82 @@
+#include "broker/members.h"
+
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "broker/clock.h"
+
+namespace cairnhub::broker {
+
+bool parse_address(const std::string& text, Address& into) {
+  into.length = sizeof into.at;
+  return evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr*>(&into.at), &into.length) == 0 &&
+         text.rfind(':') != std::string::npos;
+}
+
+const char* Members::take(std::string_view text) {
+  const auto json = nlohmann::json::parse(text, nullptr, false);
+  if (!json.is_object()) return "not a JSON object";
+  const auto revision = json.find("revision"), entries = json.find("members"),
+             complete = json.find("complete");
+  if (revision == json.end() || !revision->is_number_unsigned()) return "no revision";
+  if (entries == json.end() || !entries->is_array()) return "no members";
+  if (complete != json.end() && !complete->is_boolean()) return "complete is neither true nor false";
+  const bool whole = complete == json.end() || complete->get<bool>();
+
+  struct Entry {
+    std::string id;
+    Address address;
+    NodeState state;
+    Time started;
+    int cell;
+  };
+  std::vector<Entry> read;
+  for (const auto& e : *entries) {
+    if (!e.is_object()) return "a member is not an object";
+    const auto id = e.find("id"), at = e.find("host_port"), phase = e.find("phase"), cell = e.find("cell"),
+               up = e.find("up_since_ms");
+    if (id == e.end() || !id->is_string()) return "a member has no id";
+    if (phase == e.end() || !phase->is_string()) return "a member has no phase";
+    Entry& entry = read.emplace_back();
+    entry.id = id->get<std::string>();
+    const std::string state = phase->get<std::string>();
+    if (state == "in_service") {
+      entry.state = NodeState::ready;
+    } else if (state == "terminating") {
+      entry.state = NodeState::draining;
+    } else if (state == "terminated") {
+      entry.state = NodeState::gone;
+    } else {
+      return "a member's phase is unknown";
+    }
+    if (at == e.end() || !at->is_string() || !parse_address(at->get<std::string>(), entry.address))
+      return "a member has no address";
+    if (cell == e.end() || !cell->is_number_unsigned() || cell->get<std::uint64_t>() > 65535)
+      return "a member has no cell";
+    entry.cell = cell->get<int>();
+    const double ms = up != e.end() && up->is_number() ? up->get<double>() : up == e.end() ? 0 : -1;
+    if (!(ms >= 0 && ms < 9e12)) return "a member's start is not a time";
+    entry.started = static_cast<Time>(std::llround(ms * 1e6));
+  }
+
+  held_ = true;
+  revision_ = revision->get<std::uint64_t>();
+  ++lists_;
+  decider_.list_begins(now(), whole);
+  for (const auto& e : read) {
+    Known& k = known_[e.id];
+    if (k.id == 0) k.id = known_.size();
+    k.address = e.address;
+    k.named_in = lists_;
+    decider_.list_node(k.id, e.state, e.started, e.cell);
+    tell_(k.id, k.address, e.state);
+  }
+  decider_.list_ends();
+  if (whole)
+    for (const auto& [name, k] : known_)
+      if (k.named_in != lists_) tell_(k.id, k.address, NodeState::gone);
+  return nullptr;
+}
+
+}  // namespace cairnhub::broker
--- /dev/null
+++ b/src/broker/members.h
@@ -0,0 +1,53 @@
+// The list of nodes. The one place where their ids, addresses, phases and start times become the broker's
+// own.
+#pragma once
+#include <event2/util.h>
+#include <sys/socket.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "decide.h"
+
+namespace cairnhub::broker {
+
+struct Address {
+  sockaddr_storage at{};
+  int length = 0;
+  bool operator==(const Address& o) const {
+    return length == o.length && evutil_sockaddr_cmp(reinterpret_cast<const sockaddr*>(&at),
+                                                     reinterpret_cast<const sockaddr*>(&o.at), 1) == 0;
+  }
+};
+// False where the text is no address with a port.
+bool parse_address(const std::string& text, Address& into);
+
+class Members {
+ public:
+  // `tell` learns each node's address and state, the decider the whole list.
+  using Tell = std::function<void(NodeId, const Address&, NodeState)>;
+  Members(Decider& decider, Tell tell) : decider_(decider), tell_(std::move(tell)) {}
+
+  // Takes a list or changes to it. Nothing of a malformed one is taken: returns what is wrong with it, or
+  // null.
+  const char* take(std::string_view json);
+  bool held() const { return held_; }
+  std::uint64_t revision() const { return revision_; }
+
+ private:
+  struct Known {
+    NodeId id = 0;
+    Address address;
+    std::uint64_t named_in = 0;
+  };
+  Decider& decider_;
+  Tell tell_;
+  std::map<std::string, Known> known_;
+  bool held_ = false;
+  std::uint64_t revision_ = 0, lists_ = 0;
+};
+
+}  // namespace cairnhub::broker
--- /dev/null
+++ b/src/broker/route.cpp
@@ -0,0 +1,86 @@
+#include "broker/route.h"
+
+#include "broker/clock.h"
+#include "broker/relay.h"
+
+namespace cairnhub::broker {
+
+Route::Route(event_base* base, Decider& decider, Book& book, Sender& sender)
+    : decider_(decider), book_(book), sender_(sender), wake_(base, [this] {
+        while (!wakes_.empty() && wakes_.begin()->first <= now()) {
+          decider_.woken(wakes_.begin()->second);
+          wakes_.erase(wakes_.begin());
+        }
+        turn();
+      }) {}
+
+void Route::arrived(std::unique_ptr<Query> query) {
+  Query& q = book_.open(std::move(query));
+  // What ties a multiget and its parts together at the decider's door: small enough for a float to hold.
+  const float number = static_cast<float>(++arrivals_ % (1 << 24));
+  const Time at = now();
+  decider_.multiget_arrived(at, q.id, q.op_type, number, q.client_retry, q.left);
+  for (const auto& p : q.parts) decider_.part_arrived(at, p->id, number, p->shard, p->weight);
+  turn();
+}
+
+void Route::abandoned(RequestId id) {
+  if (Query* q = book_.query(id)) {
+    decider_.multiget_abandoned(id);
+    book_.close(*q);
+  }
+  turn();
+}
+
+void Route::turn() {
+  if (turning_) return;
+  turning_ = true;
+  do {
+    while (const auto d = decider_.next(now())) carry_out(*d);
+    sender_.flush();
+  } while (book_.hand_over());
+  turning_ = false;
+  if (!wakes_.empty()) wake_.start(wakes_.begin()->first - now());
+}
+
+void Route::carry_out(const Decision& d) {
+  using Kind = Decision::Kind;
+  switch (d.kind) {
+    case Kind::send:
+      return send(d);
+    case Kind::cancel:
+      if (Part* p = book_.part(d.request)) sender_.give_up(*p->errands.at(d.send_index));
+      return;
+    case Kind::wake:
+      wakes_.emplace(now() + d.span, d.token);
+      return;
+    case Kind::answer:
+    case Kind::push_back:
+    case Kind::fail:
+      if (Query* q = book_.query(d.request); q && q->client) {
+        if (d.kind == Kind::answer)
+          relay::answer(*q, d.whole);
+        else if (d.kind == Kind::push_back)
+          relay::push_back(*q, d.span);
+        else
+          relay::fail(*q);
+        book_.close(*q);
+      }
+      return;
+    case Kind::probe:
+    case Kind::subscribe:  // the watch always runs
+      return;
+  }
+}
+
+void Route::send(const Decision& d) {
+  Part* p = book_.part(d.request);
+  if (!p) return;
+  auto e = std::make_unique<Errand>();
+  e->part = p, e->index = static_cast<int>(p->errands.size());
+  e->sent_at = now(), e->until = e->sent_at + d.span;
+  p->errands.push_back(std::move(e));
+  sender_.send(*p->errands.back(), d.node);
+}
+
+}  // namespace cairnhub::broker
--- /dev/null
+++ b/src/broker/send.cpp
@@ -0,0 +1,283 @@
+#include "broker/send.h"
+
+#include <event2/buffer.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <list>
+#include <unordered_map>
+#include <utility>
+
+#include "broker/clock.h"
+#include "broker/frame.h"
+
+namespace cairnhub::broker {
+
+namespace {
+
+// Frames are handed to the kernel while less than this waits there, so that the others can be withdrawn.
+constexpr std::size_t kHandedMost = 16384;
+// Given-up notes to a node that reads nothing: past this the connection goes.
+constexpr std::size_t kUnreadMost = 262144;
+
+}  // namespace
+
+// Parts that travel in one frame.
+struct Sender::Call {
+  std::vector<OnWay*> parts;           // still out
+  std::uint64_t begins = 0, ends = 0;  // in the connection's stream; 0 = not begun
+};
+
+struct Sender::OnWay {
+  Errand* errand = nullptr;
+  Node* node = nullptr;
+  Link* link = nullptr;
+  Call* call = nullptr;
+  std::unique_ptr<Timer> timeout;
+};
+
+struct Sender::Link {
+  Sender* sender = nullptr;
+  Node* node = nullptr;
+  Address to;
+  bufferevent* bev = nullptr;
+  bool up = false;
+  std::uint64_t handed = 0;  // bytes, over its life
+  std::list<std::unique_ptr<Call>> waiting, under_way;
+  std::unordered_map<std::string_view, OnWay*> out;  // by name at the node; looked up, never walked
+  std::unique_ptr<Timer> limit;                      // to connect, then to be idle
+
+  std::size_t calls() const { return waiting.size() + under_way.size(); }
+  std::uint64_t written() const { return handed - evbuffer_get_length(bufferevent_get_output(bev)); }
+};
+
+struct Sender::Node {
+  NodeId id = 0;
+  Address address;
+  NodeState state = NodeState::gone;
+  std::vector<std::unique_ptr<Link>> links;
+  std::vector<OnWay*> this_turn;
+};
+
+Sender::Sender(event_base* base, SendLimits limits, Ended ended, std::function<void()> turn)
+    : base_(base), limits_(limits), ended_(std::move(ended)), turn_(std::move(turn)) {}
+
+Sender::~Sender() {
+  for (auto& [id, n] : nodes_)
+    for (auto& link : n->links) bufferevent_free(link->bev);
+}
+
+void Sender::node(NodeId id, const Address& address, NodeState state) {
+  auto& slot = nodes_[id];
+  if (!slot) slot = std::make_unique<Node>();
+  slot->id = id, slot->address = address, slot->state = state;
+  if (state == NodeState::ready) return;
+  // Rule 3. Danger: a frame that waits for its connection would go out long after the node said it drains.
+  std::vector<OnWay*> withdrawn = slot->this_turn;
+  for (auto& link : slot->links)
+    for (auto& call : link->waiting)
+      withdrawn.insert(withdrawn.end(), call->parts.begin(), call->parts.end());
+  for (OnWay* way : withdrawn) stop(*way, End::given_up);
+}
+
+void Sender::send(Errand& errand, NodeId to) {
+  Node& n = *nodes_.at(to);
+  auto& way = ways_[&errand] = std::make_unique<OnWay>();
+  way->errand = &errand, way->node = &n;
+  way->timeout = std::make_unique<Timer>(base_, [this, w = way.get()] {
+    stop(*w, End::timed_out);
+    turn_();
+  });
+  way->timeout->start(errand.until - now());
+  if (n.this_turn.empty()) touched_.push_back(&n);
+  n.this_turn.push_back(way.get());
+}
+
+void Sender::give_up(Errand& errand) {
+  const auto it = ways_.find(&errand);
+  if (it != ways_.end()) stop(*it->second, End::given_up);
+}
+
+void Sender::flush() {
+  for (Node* n : std::exchange(touched_, {})) {
+    std::vector<OnWay*> parts = std::exchange(n->this_turn, {});
+    for (std::size_t i = 0; i < parts.size();) {
+      const std::size_t upto = std::min(parts.size(), i + limits_.parts_a_call);
+      Link* link = link_with_room(*n);
+      if (!link) {
+        for (; i < upto; ++i) finish(*parts[i], {End::broken, Reached::never_connected, {}});
+        continue;
+      }
+      auto call = std::make_unique<Call>();
+      for (; i < upto; ++i) {
+        call->parts.push_back(parts[i]);
+        parts[i]->link = link, parts[i]->call = call.get();
+      }
+      link->waiting.push_back(std::move(call));
+      if (link->up) link->limit->stop();
+    }
+    for (auto& link : n->links)
+      if (link->up) write(*link);
+  }
+}
+
+// A connection to the node's present address that carries fewer calls than it may; else a new one; else, when
+// no more may be opened, the one with the fewest.
+Sender::Link* Sender::link_with_room(Node& n) {
+  Link* fewest = nullptr;
+  for (auto& link : n.links)
+    if (link->to == n.address && (!fewest || link->calls() < fewest->calls())) fewest = link.get();
+  if (fewest && fewest->calls() < static_cast<std::size_t>(limits_.calls_a_connection)) return fewest;
+  Link* fresh = open_ < limits_.connections ? open(n) : nullptr;
+  return fresh ? fresh : fewest;
+}
+
+Sender::Link* Sender::open(Node& n) {
+  auto link = std::make_unique<Link>();
+  link->sender = this, link->node = &n, link->to = n.address;
+  Link* l = link.get();
+  l->bev = bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE);
+  if (!l->bev) return nullptr;
+  l->limit = std::make_unique<Timer>(base_, [this, l] {
+    break_off(*l, l->up ? nullptr : "not connected in time");
+    turn_();
+  });
+  bufferevent_setcb(
+      l->bev,
+      [](bufferevent*, void* at) {
+        guarded("node read", [l = static_cast<Link*>(at), s = static_cast<Link*>(at)->sender] {
+          s->readable(*l);
+          s->turn_();
+        });
+      },
+      [](bufferevent*, void* at) {
+        guarded("node write", [l = static_cast<Link*>(at)] { l->sender->write(*l); });
+      },
+      [](bufferevent*, short what, void* at) {
+        guarded("node event", [l = static_cast<Link*>(at), s = static_cast<Link*>(at)->sender, what] {
+          s->happened(*l, what);
+          s->turn_();
+        });
+      },
+      l);
+  if (bufferevent_socket_connect(l->bev, reinterpret_cast<sockaddr*>(&l->to.at), l->to.length) != 0) {
+    bufferevent_free(l->bev);
+    return nullptr;
+  }
+  l->limit->start(limits_.connect_within);
+  ++open_;
+  n.links.push_back(std::move(link));
+  return l;
+}
+
+void Sender::happened(Link& link, short what) {
+  if (what & BEV_EVENT_CONNECTED) {
+    link.up = true;
+    link.limit->stop();
+    const int on = 1;
+    setsockopt(bufferevent_getfd(link.bev), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    bufferevent_enable(link.bev, EV_READ | EV_WRITE);
+    return write(link);
+  }
+  break_off(link, what & BEV_EVENT_EOF ? "ended by the node" : link.up ? "reset" : "refused");
+}
+
+// Hands over what waits as long as the kernel takes it.
+void Sender::write(Link& link) {
+  evbuffer* output = bufferevent_get_output(link.bev);
+  while (!link.waiting.empty() && evbuffer_get_length(output) < kHandedMost) {
+    std::unique_ptr<Call> call = std::move(link.waiting.front());
+    link.waiting.pop_front();
+    frame::Call bytes;
+    for (OnWay* way : call->parts) {
+      const Part& p = *way->errand->part;
+      bytes.add(p.name, p.shard, way->errand->until - now(), p.query->text);
+      link.out[p.name] = way;
+    }
+    const std::string all = bytes.finish();
+    call->begins = link.handed;
+    call->ends = link.handed += all.size();
+    bufferevent_write(link.bev, all.data(), all.size());
+    link.under_way.push_back(std::move(call));
+  }
+  if (link.calls() == 0 && !link.limit->pending()) link.limit->start(limits_.idle_at_most);
+}
+
+void Sender::readable(Link& link) {
+  evbuffer* input = bufferevent_get_input(link.bev);
+  for (;;) {
+    unsigned char head[frame::kLengthBytes];
+    if (evbuffer_copyout(input, head, sizeof head) < static_cast<ev_ssize_t>(sizeof head)) return;
+    const std::size_t n = frame::length(head);
+    if (n == 0 || n > frame::kLongest) return break_off(link, "a frame of no possible length");
+    if (evbuffer_get_length(input) < sizeof head + n) return;
+    const char* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, sizeof head + n)) + sizeof head;
+    const auto ended = frame::read({bytes, n});
+    if (!ended) return break_off(link, *bytes == 'F' ? "node can't use a frame" : "a malformed frame");
+    // One for a part that is over crosses its give-up: ordinary, dropped.
+    const auto it = link.out.find(ended->id);
+    if (it != link.out.end()) {
+      const End end = ended->how == frame::Ended::How::returned ? End::returned
+                      : ended->how == frame::Ended::How::full   ? End::full
+                                                                : End::error;
+      finish(*it->second, {end, Reached::wholly_written, ended->value});
+    }
+    evbuffer_drain(input, sizeof head + n);
+  }
+}
+
+Reached Sender::reached(const OnWay& way) const {
+  if (!way.link || !way.link->up) return Reached::never_connected;
+  if (way.call->ends == 0 || way.link->written() < way.call->ends) return Reached::partly_written;
+  return Reached::wholly_written;
+}
+
+// Ends a send from this side: withdrawn where its frame is not begun, else the node is told.
+void Sender::stop(OnWay& way, End why) {
+  const Reached far = reached(way);
+  if (way.call && way.call->ends != 0) {
+    const std::string bytes = frame::give_up(way.errand->part->name);
+    way.link->handed += bytes.size();
+    bufferevent_write(way.link->bev, bytes.data(), bytes.size());
+  }
+  Link* link = way.link;
+  finish(way, {why, far, {}});
+  if (link && evbuffer_get_length(bufferevent_get_output(link->bev)) > kUnreadMost)
+    break_off(*link, "reads nothing");
+}
+
+// The one place where a send ends.
+void Sender::finish(OnWay& way, const Result& result) {
+  Errand& errand = *way.errand;
+  std::erase(way.node->this_turn, &way);
+  if (Link* link = way.link) {
+    const auto named = link->out.find(errand.part->name);
+    if (named != link->out.end() && named->second == &way) link->out.erase(named);
+    std::erase(way.call->parts, &way);
+    if (way.call->parts.empty()) {
+      const auto done = [&](const auto& c) { return c.get() == way.call; };
+      link->waiting.remove_if(done);
+      link->under_way.remove_if(done);
+      if (link->up && link->calls() == 0) link->limit->start(limits_.idle_at_most);
+    }
+  }
+  const auto kept = ways_.extract(&errand);  // until told
+  ended_(errand, result);
+}
+
+// Ends a connection and all that is out on it. No reason: it was idle.
+void Sender::break_off(Link& link, const char* why) {
+  if (why)
+    log("node", "%llu: %s, %zu calls on the connection", static_cast<unsigned long long>(link.node->id), why,
+        link.calls());
+  std::vector<std::pair<OnWay*, Reached>> lost;
+  for (auto* calls : {&link.under_way, &link.waiting})
+    for (auto& call : *calls)
+      for (OnWay* way : call->parts) lost.emplace_back(way, reached(*way));
+  for (auto& [way, far] : lost) finish(*way, {End::broken, far, {}});
+  bufferevent_free(link.bev);
+  --open_;
+  std::erase_if(link.node->links, [&](const auto& l) { return l.get() == &link; });
+}
+
+}  // namespace cairnhub::broker
--- /dev/null
+++ b/src/broker/watch.h
@@ -0,0 +1,37 @@
+// Follows discovery's list: one call after another, each waiting for what is newer than the list in hand.
+#pragma once
+#include <event2/event.h>
+
+#include <functional>
+#include <string>
+
+#include "broker/members.h"
+#include "broker/timer.h"
+
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace cairnhub::broker {
+
+class Watch {
+ public:
+  // `news` is called after each answer or failure.
+  Watch(event_base* base, const std::string& discovery, Members& members, std::function<void(bool)> news);
+  ~Watch();
+  void call();
+  void stop();
+
+ private:
+  void answered(evhttp_request* request);
+
+  event_base* base_;
+  std::string host_;
+  std::uint16_t port_ = 0;
+  Members& members_;
+  std::function<void(bool)> news_;
+  evhttp_connection* connection_ = nullptr;
+  Timer again_;
+  Time wait_ = 0;
+};
+
+}  // namespace cairnhub::broker
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "wirehost/settings.h"
+#include "settings/settings.h"
 
 namespace cairnhub::wire {
 
@@ -106,7 +106,9 @@
   const Time now = batch.now();
   if (code == kInit) {
     inst.decider = std::make_unique<Decider>(r.u64(1, "nonce64"));
-    apply_settings(batch.tail(r, 9, 1, "options"), *inst.decider, inst.report_fields);
+    const auto stated = settings::Settings::from_lines(batch.tail(r, 9, 1, "options"));
+    settings::apply(stated, *inst.decider);
+    inst.report_fields = stated.names("load-info.fields");
     inst.decider->start();
     return;
   }
--- a/tests/frames.cpp
+++ b/tests/frames.cpp
@@ -4,7 +4,6 @@
 #include <string>
 
 #include "wirehost/host.h"
-#include "wirehost/settings.h"
 
 using namespace cairnhub;
 
