--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -214,7 +214,7 @@
     std::string classes;
     for (const char* op : {"all", "any", "once"})
       classes += std::string(classes.empty() ? "" : ",") + "{\"name\":\"" + op + "\",\"promise\":" + budget +
-                 ",\"deadline\":5,\"late-share\":0.5,\"value\":1,\"effect\":\"" +
+                 ",\"deadline\":60,\"late-share\":0.5,\"value\":1,\"effect\":\"" +
                  (std::strcmp(op, "once") == 0 ? "single_shot" : "free") + "\"}";
     start("{\"listen\":\"" + text(kBroker) + "\",\"discovery\":\"" + text(kDiscovery) +
           "\",\"seed\":\"00000000000000a7\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" +
@@ -428,20 +428,20 @@
   c.gets();
 }
 
-void client_leaves() {  // its multiget is given up at once
-  World w(2);
+void client_leaves() {  // its multiget is given up at once, long before its time is up or a node looks silent
+  World w(2, 1, 256, "30");
   Node one(1), two(2);
   w.ready();
   {
     Client c;
-    c.asks("m1", "all", {0, 1});
+    c.asks("m1", "all", {0, 1}, "60");
     one.reads(), two.reads();
     std::printf("client leaves\n");
   }
   one.reads(), two.reads();
   {
     Client c;
-    c.asks("m2", "all", {0});
+    c.asks("m2", "all", {0}, "60");
     one.reads();
     c.peer.reset();
     std::printf("client leaves with a reset\n");
