--- a/src/broker/route.cpp
+++ b/src/broker/route.cpp
@@ -42,12 +42,18 @@
 
 void Route::turn() {
   if (turning_) return;
-  turning_ = true;
-  do {
-    while (const auto d = decider_.next(now())) carry_out(*d);
-    sender_.flush();
-  } while (book_.hand_over());
-  turning_ = false;
+  {
+    // Danger: an exception that left the mark behind would be the last turn.
+    const struct Mark {
+      bool& on;
+      explicit Mark(bool& m) : on(m) { on = true; }
+      ~Mark() { on = false; }
+    } mark(turning_);
+    do {
+      while (const auto d = decider_.next(now())) carry_out(*d);
+      sender_.flush();
+    } while (book_.hand_over());
+  }
   if (!wakes_.empty()) wake_.start(wakes_.begin()->first - now());
 }
 
--- a/src/broker/send.cpp
+++ b/src/broker/send.cpp
@@ -143,6 +143,11 @@
     break_off(*l, l->up ? nullptr : "not connected in time");
     turn_();
   });
+  if (bufferevent_socket_connect(l->bev, reinterpret_cast<sockaddr*>(&l->to.at), l->to.length) != 0) {
+    bufferevent_free(l->bev);
+    return nullptr;
+  }
+  // After the attempt to connect: one that fails at once is told here, and not by a callback as well.
   bufferevent_setcb(
       l->bev,
       [](bufferevent*, void* at) {
@@ -161,10 +166,6 @@
         });
       },
       l);
-  if (bufferevent_socket_connect(l->bev, reinterpret_cast<sockaddr*>(&l->to.at), l->to.length) != 0) {
-    bufferevent_free(l->bev);
-    return nullptr;
-  }
   l->limit->start(limits_.connect_within);
   ++open_;
   n.links.push_back(std::move(link));
--- a/src/broker/watch.cpp
+++ b/src/broker/watch.cpp
@@ -6,6 +6,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "broker/clock.h"
+
 namespace cairnhub::broker {
 
 namespace {
@@ -43,6 +45,7 @@
     const timeval tv{(kWaitMs + kAnswerWithinMs) / 1000, (kWaitMs + kAnswerWithinMs) % 1000 * 1000};
     evhttp_connection_set_timeout_tv(connection_, &tv);
   }
+  called_at_ = now();
   evhttp_request* request = evhttp_request_new(
       [](evhttp_request* r, void* self) {
         guarded("watch", [&] { static_cast<Watch*>(self)->answered(r); });
@@ -59,11 +62,15 @@
 
 void Watch::answered(evhttp_request* request) {
   const char* trouble = "no answer";
+  bool at_once = false;
   if (request && evhttp_request_get_response_code(request) == 200) {
     evbuffer* body = evhttp_request_get_input_buffer(request);
     const std::size_t n = evbuffer_get_length(body);
     const char* bytes = n ? reinterpret_cast<const char*>(evbuffer_pullup(body, -1)) : "";
+    const auto before = members_.revision();
     trouble = members_.take({bytes, n});
+    // Danger: an agent that answers at once with nothing new would be asked without end.
+    at_once = members_.revision() == before && now() - called_at_ < kFirstRetry;
   } else if (request && evhttp_request_get_response_code(request) != 0) {
     trouble = "not a 200";
   }
@@ -72,7 +79,7 @@
         static_cast<unsigned long long>(members_.revision()));
     wait_ = wait_ == 0 ? kFirstRetry : std::min(2 * wait_, kLongestRetry);
   } else {
-    wait_ = 0;
+    wait_ = at_once ? kFirstRetry : 0;
   }
   again_.start(wait_);  // not from within the library's callback
   news_(trouble == nullptr);
--- a/src/broker/watch.h
+++ b/src/broker/watch.h
@@ -31,7 +31,7 @@
   std::function<void(bool)> news_;
   evhttp_connection* connection_ = nullptr;
   Timer again_;
-  Time wait_ = 0;
+  Time wait_ = 0, called_at_ = 0;
 };
 
 }  // namespace cairnhub::broker
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -590,9 +590,15 @@
     two.hits(two.reads(), "v");
     c.gets();
   }
-  w.tells(w.list(8, true, "terminating"));
+  std::string moved = w.list(8, true, "in_service", 2);  // to where no connection is possible
+  moved.replace(moved.find(text(kNode + 2)), text(kNode + 2).size(), "255.255.255.255:9102");
+  w.tells(moved);
   w.asked();
-  c.asks("m4", "all", {0});
+  c.asks("m4", "all", {0}, "1");
+  c.gets();
+  w.tells(w.list(9, true, "terminating"));
+  w.asked();
+  c.asks("m5", "all", {0});
   c.gets();
 }
 
@@ -627,7 +633,8 @@
   const std::string text(60000, 'x');
   for (int i = 0; i < 40; ++i) {
     clients.push_back(std::make_unique<Client>());
-    clients.back()->peer.write(Client::request("m" + std::to_string(i), "once", Client::parts({0}, text), "2"));
+    clients.back()->peer.write(
+        Client::request("m" + std::to_string(i), "once", Client::parts({0}, text), "2"));
     if (i == 0) one.accept();
   }
   Client last;  // once it is answered all before it have been taken
