A request that ends in an exception holds neither its connection nor a dangling client

Read again: had anything thrown while a request was taken in, the connection would have stayed unread for ever (evhttp stops reading until an answer is out) and the book might have kept a client whose connection was gone (TakeIn::request armed the watch on the descriptor last; Waiting pointed at a Door that it did not keep track of). Now the watch is armed first, and door and waiting client know of each other's end.

--- a/src/broker/take_in.cpp
+++ b/src/broker/take_in.cpp
@@ -30,23 +30,26 @@
   evhttp_connection* connection;
   event* end = nullptr;  // hears of the client's leaving while its multiget is in hand
   evhttp_request* asked = nullptr;
+  Waiting* waiting = nullptr;
   RequestId query = 0;
 
-  ~Door() {
-    if (end) event_free(end);
-  }
+  ~Door();
 };
 
 // The client that waits behind a request.
 class TakeIn::Waiting : public Client {
  public:
-  explicit Waiting(Door& door) : door_(&door) {}
+  explicit Waiting(Door& door) : door_(&door) { door.waiting = this; }
+  ~Waiting() override {
+    if (door_ && door_->waiting == this) door_->waiting = nullptr;
+  }
+  void left() { door_ = nullptr; }
   void answer(int status, std::string_view come_back, std::string body) override {
+    if (!door_) return;  // the client has left
     Door& d = *door_;
     evhttp_request* r = std::exchange(d.asked, nullptr);
-    if (!r) return;  // the client has left
     d.query = 0;
-    if (d.end) event_del(d.end);
+    event_del(d.end);
     evkeyvalq* headers = evhttp_request_get_output_headers(r);
     evhttp_add_header(headers, "Content-Type", status == 200 ? "application/json" : "text/plain");
     if (!come_back.empty()) evhttp_add_header(headers, "Retry-After", std::string(come_back).c_str());
@@ -59,6 +62,11 @@
   Door* door_;
 };
 
+TakeIn::Door::~Door() {
+  if (waiting) waiting->left();
+  if (end) event_free(end);
+}
+
 TakeIn::TakeIn(event_base* base, const std::string& listen, int pause_at, Admit& admit, Route& route)
     : base_(base), pause_at_(pause_at), resume_(base, [this] { accepted(); }), admit_(admit), route_(route) {
   Address at;
@@ -71,7 +79,10 @@
   // Danger: with no descriptor left an accept fails at once, again and again. The library keeps its own word
   // with this callback, so what it needs is the listener alone.
   evconnlistener_set_error_cb(listener_, [](evconnlistener* l, void*) {
-    log("descriptors", "a connection can't be accepted: %s", evutil_socket_error_to_string(errno));
+    const int why = errno;
+    guarded("accept", [&] {
+      log("descriptors", "a connection can't be accepted: %s", evutil_socket_error_to_string(why));
+    });
     evconnlistener_disable(l);
     const timeval pause{0, kPause / 1000};
     event_base_once(
@@ -135,10 +146,10 @@
   }
   Door& door = *slot;
   door.asked = r;
+  hear_of_end(door);
   auto client = std::make_unique<Waiting>(door);
-  const std::string_view path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(r))
-                                    ? evhttp_uri_get_path(evhttp_request_get_evhttp_uri(r))
-                                    : "";
+  const char* stated = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(r));
+  const std::string_view path = stated ? stated : "";
   if (path == "/_health") return client->answer(200, "", "ready\n");
   if (evhttp_request_get_command(r) != EVHTTP_REQ_POST) return client->answer(405, "", "only POST here\n");
   const evkeyvalq* headers = evhttp_request_get_input_headers(r);
@@ -152,10 +163,7 @@
                     header("X-Resent"),
                     {n ? reinterpret_cast<const char*>(evbuffer_pullup(body, -1)) : "", n}};
   const RequestId id = admit_.take(asked, std::move(client));
-  const auto still = doors_.find(connection);
-  if (id == 0 || still == doors_.end() || !still->second->asked) return;  // answered already
-  still->second->query = id;
-  hear_of_end(*still->second);
+  if (door.asked) door.query = id;  // else answered already
 }
 
 // evhttp doesn't read while a request is being handled, and so doesn't hear of a client that leaves.
@@ -183,10 +191,9 @@
 void TakeIn::gone(evhttp_connection* connection) {
   const auto it = doors_.find(connection);
   if (it == doors_.end()) return;
-  it->second->asked = nullptr;
   const RequestId query = it->second->query;
+  doors_.erase(it);
   if (query) route_.abandoned(query);
-  doors_.erase(connection);
 }
 
 void TakeIn::last_answers() { last_answers_ = true; }
