Stories of shared calls, idle connections and too many multigets in hand

Parts of one turn share a frame up to the settings' number, and the query's text reaches the node as its bytes; a connection to a node goes before the node's own idle limit; past the limit by memory a multiget is turned away with nothing of it sent. Story settings are stated by name.

--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -123,7 +123,7 @@
   std::unique_ptr<Peer> peer;
   explicit Node(int n, int backlog = 64) : number(n), door(std::make_unique<Listener>(kNode + n, backlog)) {}
   void accept() { peer = std::make_unique<Peer>(door->accept()); }
-  // The next frame, printed; a wait in a call is left out, and a long text's bytes.
+  // The next frame, printed without the waits of its parts, which differ from time to time.
   std::string reads(bool print = true) {
     if (!peer) accept();
     while (peer->in.size() < 4 || peer->in.size() < 4 + size()) {
@@ -134,8 +134,9 @@
     }
     std::string frame = peer->take(4 + size()).substr(4);
     std::string shown = frame;
-    if (const auto d = shown.find(" d="); d != std::string::npos) shown.erase(d, shown.find(' ', d + 1) - d);
-    if (const auto lf = shown.find('\n'); lf != std::string::npos) shown.replace(lf, 1, " / ");
+    for (std::size_t d; (d = shown.find(" d=")) != std::string::npos;)
+      shown.erase(d, shown.find(' ', d + 1) - d);
+    for (std::size_t lf; (lf = shown.find('\n')) != std::string::npos;) shown.replace(lf, 1, " / ");
     if (print) std::printf("node %d reads: %.70s\n", number, shown.c_str());
     return frame;
   }
@@ -171,9 +172,9 @@
     return "{\"buckets\":[" + list + "],\"body\":\"" + body + "\"}";
   }
   void asks(const std::string& name, const std::string& op, const std::vector<int>& shards,
-            const char* left = "5") {
+            const char* left = "5", const char* body = "c41e") {
     std::printf("client asks %s: %s of %zu parts\n", name.c_str(), op.c_str(), shards.size());
-    peer.write(request(name, op, parts(shards), left));
+    peer.write(request(name, op, parts(shards, body), left));
   }
   // Status, further headers that matter, and the body.
   std::string reads() {
@@ -199,40 +200,49 @@
   void gets() { std::printf("client gets: %s\n", reads().c_str()); }
 };
 
+// How a story's deployment differs from the others'.
+struct Setup {
+  int cells = 1, replicas = 1, shards = 0;  // no shards stated: as many as cells
+  int parts_a_call = 1, sockets = 256, memory_mb = 192;
+  const char *budget = "2", *connect_within = "0.25", *keepalive = "15";
+  std::string config = {};  // the whole of it, where stated
+};
+
 // The program with its surroundings. Op types: `all` needs every part, `any` half of them, `once` every part
 // and may not be repeated.
 struct World {
-  int cells, replicas;
+  int cells;
   Listener discovery{kDiscovery};
   std::unique_ptr<Peer> watch;
   pid_t pid = 0;
   std::string folder;
 
-  explicit World(int cell_count, int replicas_in_a_row = 1, int sockets = 256, const char* budget = "2",
-                 const char* connect_within = "0.25")
-      : cells(cell_count), replicas(replicas_in_a_row) {
+  explicit World(const Setup& s) : cells(s.cells) {
+    if (!s.config.empty()) {
+      start(s.config, true);
+      return;
+    }
+    const auto n = [](int number) { return std::to_string(number); };
     std::string classes;
     for (const char* op : {"all", "any", "once"})
-      classes += std::string(classes.empty() ? "" : ",") + "{\"name\":\"" + op + "\",\"promise\":" + budget +
-                 ",\"deadline\":60,\"late-share\":0.5,\"value\":1,\"effect\":\"" +
-                 (std::strcmp(op, "once") == 0 ? "single_shot" : "free") + "\"}";
-    start("{\"listen\":\"" + text(kBroker) + "\",\"discovery\":\"" + text(kDiscovery) +
-          "\",\"seed\":\"00000000000000a7\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" +
-          std::to_string(sockets) + "},\"known\":" + list(1, true, "in_service") +
-          ",\"settings\":{\"balancers\":2,\"callers\":{\"marks-retry\":true},\"ceilings\":{\"cancel\":true,"
-          "\"connect-timeout\":" +
-          connect_within +
-          ",\"keepalive\":15.0,\"max-retry-after\":0.5,\"multiplex\":32,"
-          "\"retry-after\":true,\"second-copies\":true,\"try-limit\":3},\"classes\":[" +
+      classes += std::string(classes.empty() ? "" : ",") + R"({"name":")" + op + R"(","promise":)" +
+                 s.budget + R"(,"deadline":60,"late-share":0.5,"effect":")" +
+                 (std::strcmp(op, "once") == 0 ? "single_shot" : "free") + R"("})";
+    start(R"({"listen":")" + text(kBroker) + R"(","discovery":")" + text(kDiscovery) +
+          R"(","seed":"00000000000000a7","limits":{"cores":1.0,"memory_mb":)" + n(s.memory_mb) +
+          R"(,"sockets":)" + n(s.sockets) + R"(},"known":)" + list(1, true, "in_service") +
+          R"(,"settings":{"balancers":2,"callers":{"marks-retry":true},"ceilings":{"cancel":true,)"
+          R"("connect-timeout":)" +
+          s.connect_within + R"(,"keepalive":)" + s.keepalive +
+          R"(,"max-retry-after":0.5,"multiplex":32,"retry-after":true,"second-copies":true,"try-limit":3},)"
+          R"("classes":[)" +
           classes +
-          "],\"family-info\":{\"min-share\":[1,0.5,1],\"need-by-class\":[1,0.5,1],\"parts-a-call\":1,"
-          "\"positions\":" +
-          std::to_string(cells) + ",\"ranges\":" + std::to_string(cells) +
-          ",\"width\":" + std::to_string(replicas) +
-          "},\"rules\":{\"cold\":10,\"cold-from\":0.2,\"fall-multiple\":2,\"overload-for\":2},"
-          "\"tick\":0.005}}");
-  }
-  explicit World(const std::string& config) : cells(0), replicas(0) { start(config, true); }
+          R"(],"family-info":{"min-share":[1,0.5,1],"need-by-class":[1,0.5,1],)"
+          R"("parts-a-call":)" +
+          n(s.parts_a_call) + R"(,"positions":)" + n(s.cells) + R"(,"ranges":)" +
+          n(s.shards ? s.shards : s.cells) + R"(,"width":)" + n(s.replicas) +
+          R"(},"rules":{"cold":10,"cold-from":0.2,"fall-multiple":2,"overload-for":2},"tick":0.005}})");
+  }
   ~World() {
     if (pid > 0) kill(pid, SIGKILL), waitpid(pid, nullptr, 0);
     unlink((folder + "/config.json").c_str());
@@ -298,7 +308,7 @@
 using Story = void (*)();
 
 void calm() {  // every part is needed: each node is asked once, the answer carries each value as it came
-  World w(3);
+  World w({.cells = 3});
   Node one(1), two(2), three(3);
   w.ready();
   Client c;
@@ -320,8 +330,55 @@
   return either[0].revents ? one : two;
 }
 
+void shared_calls() {  // two parts a call; the text goes on as its bytes, whatever they are
+  World w({.shards = 3, .parts_a_call = 2});
+  Node one(1);
+  w.ready();
+  Client c;
+  c.asks("m1", "all", {0, 1, 2}, "5", "a\\\"\\u00e9");
+  const std::string two = one.reads(), last = one.reads();
+  one.hits("A" + two.substr(two.find("m1.1")), "v1");
+  one.hits(last, "v2");
+  one.hits(two, "v0");
+  c.gets();
+}
+
+void idle() {  // a connection to a node goes before the node's own limit; the next send opens another
+  World w({.keepalive = "0.2"});
+  Node one(1);
+  w.ready();
+  Client c;
+  for (const char* name : {"m1", "m2"}) {
+    c.asks(name, "once", {0});
+    one.hits(one.reads(), "v");
+    c.gets();
+    one.reads();
+  }
+}
+
+void many() {  // more in hand than memory allows: turned away while nothing of it is sent
+  World w({.memory_mb = 16, .budget = "60"});
+  Node one(1);
+  w.ready();
+  std::vector<std::unique_ptr<Client>> clients;
+  std::vector<std::string> calls;
+  for (int i = 0; i < 32; ++i) {
+    clients.push_back(std::make_unique<Client>());
+    clients.back()->peer.write(Client::request("m" + std::to_string(i), "all", Client::parts({0}), "60"));
+    calls.push_back(one.reads(false));
+  }
+  Client c;
+  c.asks("m32", "all", {0});
+  c.gets();
+  one.hits(calls[0], "v");
+  clients[0]->gets();
+  c.asks("m33", "all", {0});
+  one.hits(one.reads(), "v");
+  c.gets();
+}
+
 void any_parts() {  // two of four needed and one margin: one stays unsent, the first two make the answer
-  World w(4);
+  World w({.cells = 4});
   std::vector<std::unique_ptr<Node>> nodes;
   for (int n = 1; n <= 4; ++n) nodes.push_back(std::make_unique<Node>(n));
   w.ready();
@@ -347,7 +404,7 @@
 
 void failing() {  // an error, a full queue and a reset: the part is made up for at its other holder
   for (const char* how : {"fault", "overload", "reset"}) {
-    World w(2, 2);
+    World w({.cells = 2, .replicas = 2});
     Node one(1), two(2);
     w.ready();
     Client c;
@@ -364,7 +421,7 @@
 }
 
 void once_only() {  // not to be repeated: fails after a reset; pushed back on proof that it never ran
-  World w(1);
+  World w(Setup{});
   Node one(1);
   w.ready();
   Client c;
@@ -395,7 +452,7 @@
 
 void silent() {  // a node that never answers, and one that never lets a connection come up
   {
-    World w(2, 2, 256, "0.4");
+    World w({.cells = 2, .replicas = 2, .budget = "0.4"});
     Node one(1), two(2);
     w.ready();
     Client c;
@@ -406,7 +463,7 @@
     c.gets();
     mute.reads();  // the give-up
   }
-  World w(1);
+  World w(Setup{});
   Node one(1, 0);
   const Filled filled(one);
   w.ready();
@@ -416,7 +473,7 @@
 }
 
 void drain() {  // rule 3: what waits for its connection when its node drains is withdrawn, and goes elsewhere
-  World w(2, 2, 256, "2", "60");
+  World w({.cells = 2, .replicas = 2, .connect_within = "60"});
   Node one(1), two(2, 0);
   const Filled filled(two);
   w.ready();
@@ -429,7 +486,7 @@
 }
 
 void client_leaves() {  // its multiget is given up at once, long before its time is up or a node looks silent
-  World w(2, 1, 256, "30");
+  World w({.cells = 2, .budget = "30"});
   Node one(1), two(2);
   w.ready();
   {
@@ -451,7 +508,7 @@
 
 void stop() {  // SIGTERM with work out: still taken and answered, each answer the last of its connection;
                // exit 0
-  World w(1);
+  World w(Setup{});
   Node one(1);
   w.ready();
   Client c, idle;
@@ -479,7 +536,7 @@
 }
 
 void bad_input() {
-  World w(2);
+  World w({.cells = 2});
   Node one(1), two(2);
   w.ready();
   const std::string good = Client::parts({0, 1});
@@ -553,7 +610,7 @@
                                std::string(4, '\0'),
                                "\xff\xff\xff\x7f"
                                "E"};
-  World w(1);
+  World w(Setup{});
   Node one(1);
   w.ready();
   Client c;
@@ -573,7 +630,7 @@
 }
 
 void list() {  // whole and changed lists; resets, silence and malformed ones leave the list in hand
-  World w(2, 2);
+  World w({.cells = 2, .replicas = 2});
   Node two(2);  // the first holder is never up
   w.ready();
   Client c;
@@ -603,7 +660,7 @@
 }
 
 void descriptors() {  // connections without end: accepting pauses, what was taken is served, then it goes on
-  World w(1, 1, 64);
+  World w({.sockets = 64});
   Node one(1);
   w.ready();
   Client c;
@@ -624,7 +681,7 @@
 }
 
 void part_written() {  // a node that stops reading and resets: what was not wholly written has never run
-  World w(1);
+  World w(Setup{});
   Node one(1);
   const int small = 4096;
   setsockopt(one.door->fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
@@ -675,7 +732,7 @@
     config.replace(config.find(from), std::strlen(from), to);
     std::printf("%s for %s\n", to, from);
     std::fflush(stdout);
-    World w(config);
+    World w({.config = config});
     w.ends();
   }
 }
@@ -688,6 +745,9 @@
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
   const std::map<std::string, Story> stories = {
       {"calm", calm},
+      {"shared_calls", shared_calls},
+      {"idle", idle},
+      {"many", many},
       {"any_parts", any_parts},
       {"failing", failing},
       {"once_only", once_only},
