A broker that stops refuses new connections once its door is closed

Found by reading: with the listener only disabled, the system went on accepting connections into its queue, and a request written there would have been lost at the exit (TakeIn::close_door).

--- a/src/broker/take_in.cpp
+++ b/src/broker/take_in.cpp
@@ -202,6 +202,8 @@
   closed_ = true;
   resume_.stop();
   evconnlistener_disable(listener_);
+  // Danger: the system would go on accepting into its queue, and what asks there would never be answered.
+  shutdown(evconnlistener_get_fd(listener_), SHUT_RD);
   std::vector<evhttp_connection*> idle;
   for (auto& [connection, door] : doors_)
     if (!door->asked &&
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -529,6 +529,7 @@
   one.hits(second, "v2");
   late.gets();
   std::printf("idle client: %s\n", idle.reads().c_str());  // let go when the door closes
+  std::printf("a new connection: %s\n", Client().peer.fd < 0 ? "refused" : "accepted");
   one.hits(first, "v1");
   c.gets();
   std::printf("then: %s\n", c.reads().c_str());
