Read once more: code that nothing called goes; a connection is judged unread only where told

Admit could be shut, and nothing shut it: the door at shutdown is take in's. A declaration and three headers were unused. A send withdrawn before its frame is begun adds nothing to a connection, so that only one that is told is followed by the look at what waits unread there.

--- a/src/broker/admit.cpp
+++ b/src/broker/admit.cpp
@@ -49,8 +49,8 @@
     return 0;
   }
   // Danger: a flood. Nothing of it has been sent, so trying again is harmless.
-  if (shut_ || book_.held() >= most_) {
-    client->answer(503, "", shut_ ? "shutting down\n" : "too many in hand\n");
+  if (book_.held() >= most_) {
+    client->answer(503, "", "too many in hand\n");
     return 0;
   }
   query->client = std::move(client);
--- a/src/broker/admit.h
+++ b/src/broker/admit.h
@@ -1,4 +1,4 @@
-// The admitting stage: validity, the process's hard limits, and shutdown. What passes is whole and well
+// The admitting stage: validity, the process's hard limits. What passes is whole and well
 // formed; policy is the decider's.
 #pragma once
 #include <string>
@@ -23,7 +23,6 @@
 
   // Takes it, and returns its id; or refuses it with a plain answer to `client`, and returns 0.
   RequestId take(const Asked& asked, std::unique_ptr<Client> client);
-  void shut() { shut_ = true; }
 
  private:
   struct OpRead {
@@ -35,7 +34,6 @@
   std::unordered_map<std::string, OpRead> op_types_;
   int shards_;
   std::size_t most_;
-  bool shut_ = false;
   Book& book_;
   Route& route_;
 };
--- a/src/broker/query.h
+++ b/src/broker/query.h
@@ -10,7 +10,6 @@
 
 namespace cairnhub::broker {
 
-struct Connection;
 struct Part;
 struct Query;
 
--- a/src/broker/send.cpp
+++ b/src/broker/send.cpp
@@ -242,15 +242,15 @@
 // Ends a send from this side: withdrawn where its frame is not begun, else the node is told. Danger: a frame
 // handed over is written to its end, and may run though its last byte was not out when it was given up.
 void Sender::stop(OnWay& way, End why) {
-  const Reached far = way.begun() ? Reached::wholly_written : Reached::never_connected;
-  if (way.begun()) {
+  const bool told = way.begun();
+  if (told) {
     const std::string bytes = frame::give_up(way.errand->part->name);
     way.link->handed += bytes.size();
     bufferevent_write(way.link->bev, bytes.data(), bytes.size());
   }
   Link* link = way.link;
-  finish(way, {why, far, {}});
-  if (link && evbuffer_get_length(bufferevent_get_output(link->bev)) > kUnreadMost)
+  finish(way, {why, told ? Reached::wholly_written : Reached::never_connected, {}});
+  if (told && evbuffer_get_length(bufferevent_get_output(link->bev)) > kUnreadMost)
     break_off(*link, "reads nothing");
 }
 
--- a/src/broker/send.h
+++ b/src/broker/send.h
@@ -3,7 +3,6 @@
 #pragma once
 #include <event2/bufferevent.h>
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -10,12 +10,10 @@
 
 #include <algorithm>
 #include <csignal>
-#include <cstdarg>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
 #include <fstream>
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
