SIGHUP reads the configuration anew and moves the watch to the new discovery

Checked: the exit status is SIGHUP's own; broker.cpp handled SIGTERM alone, and Watch could not change its address. Ruled out: a crash in the watch, as nothing was logged before the end. A changed discovery address is asked at once for its whole list, since its revisions may be other ones; anything else that differs is logged as waiting for a restart; a bad file changes nothing. SIGHUP is ignored until the loop is ready. The new story reload gives up without the change.

--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -47,6 +47,7 @@
   Admit admit;
   Watch watch;
   TakeIn take_in;
+  Config in_force;
   std::function<void()> done;
   Timer closing;
   bool door_closed = false;
@@ -66,6 +67,7 @@
                 route.turn();
               }),
         take_in(base, c.listen, pause_at(c), admit, route),
+        in_force(c),
         closing(base, [this] { close(); }) {
     settings::apply(c.settings, decider);
     decider.start();
@@ -86,6 +88,17 @@
 Broker::Broker(event_base* base, const Config& config) : stages_(std::make_unique<Stages>(base, config)) {}
 Broker::~Broker() = default;
 
+void Broker::change(const Config& c) {
+  Config& had = stages_->in_force;
+  if (c.listen != had.listen) log("config", "listen has changed; that takes a restart");
+  if (c.memory != had.memory || c.descriptors != had.descriptors)
+    log("config", "limits have changed; that takes a restart");
+  if (!(c.settings == had.settings)) log("config", "settings have changed; that takes a restart");
+  log("config", "read anew; discovery %s %s", c.discovery == had.discovery ? "stays at" : "is now at",
+      c.discovery.c_str());
+  if (c.discovery != had.discovery) stages_->watch.move(had.discovery = c.discovery);
+}
+
 void Broker::shut_down(std::function<void()> done) {
   if (stages_->done) return;
   stages_->done = std::move(done);
@@ -93,8 +106,32 @@
   stages_->closing.start(kStillComing);
 }
 
+namespace {
+
+// What a signal does, on the loop and not where it strikes.
+class OnSignal {
+ public:
+  OnSignal(event_base* base, int signal, std::function<void()> what) : what_(std::move(what)) {
+    event_ = evsignal_new(
+        base, signal,
+        [](evutil_socket_t, short, void* self) { guarded("signal", static_cast<OnSignal*>(self)->what_); },
+        this);
+    event_add(event_, nullptr);
+  }
+  ~OnSignal() { event_free(event_); }
+  OnSignal(const OnSignal&) = delete;
+  OnSignal& operator=(const OnSignal&) = delete;
+
+ private:
+  std::function<void()> what_;
+  event* event_;
+};
+
+}  // namespace
+
 int run() {
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);  // Danger: one that comes before the loop is ready would end the program.
   event_config* how = event_config_new();
   event_config_set_flag(how, EVENT_BASE_FLAG_PRECISE_TIMER);
   event_base* base = event_base_new_with_config(how);
@@ -104,22 +141,19 @@
     const char* path = std::getenv("RELAY_CONFIG");
     if (!path) throw std::runtime_error("RELAY_CONFIG is not set");
     Broker broker(base, read_config(path));
-    struct Stop {
-      Broker* broker;
-      event_base* base;
-    } stop{&broker, base};
-    event* term = evsignal_new(
-        base, SIGTERM,
-        [](evutil_socket_t, short, void* at) {
-          guarded("stop", [s = static_cast<Stop*>(at)] {
-            log("stop", "finishing what is in hand");
-            s->broker->shut_down([s] { event_base_loopexit(s->base, nullptr); });
-          });
-        },
-        &stop);
-    event_add(term, nullptr);
+    const OnSignal stop(base, SIGTERM, [&] {
+      log("stop", "finishing what is in hand");
+      broker.shut_down([base] { event_base_loopexit(base, nullptr); });
+    });
+    // Danger: a file that is missing, half written or wrong. Nothing of it is taken.
+    const OnSignal reload(base, SIGHUP, [&] {
+      try {
+        broker.change(read_config(path));
+      } catch (const std::exception& e) {
+        log("config", "the old one stays in force: %s", e.what());
+      }
+    });
     event_base_dispatch(base);
-    event_free(term);
   } catch (const std::exception& e) {
     std::fprintf(stderr, "cairnhub: %s\n", e.what());
     status = 1;
--- a/src/broker/broker.h
+++ b/src/broker/broker.h
@@ -14,6 +14,8 @@
   // Throws std::exception with one plain line where the configuration won't do.
   Broker(event_base* base, const Config& config);
   ~Broker();
+  // Takes over what may change under way; logs what takes a restart.
+  void change(const Config& config);
   // Goes on for as long as clients may still come, finishes what it has taken, then calls `done`. Once.
   void shut_down(std::function<void()> done);
 
--- a/src/broker/watch.cpp
+++ b/src/broker/watch.cpp
@@ -22,6 +22,10 @@
 
 Watch::Watch(event_base* base, const std::string& discovery, Members& members, std::function<void(bool)> news)
     : base_(base), members_(members), news_(std::move(news)), again_(base, [this] { call(); }) {
+  at(discovery);
+}
+
+void Watch::at(const std::string& discovery) {
   Address checked;
   if (!parse_address(discovery, checked))
     throw std::runtime_error("configuration: discovery is not an address");
@@ -32,6 +36,14 @@
 
 Watch::~Watch() { stop(); }
 
+// Danger: another address may stand for another list, whose revisions aren't those of the one in hand.
+void Watch::move(const std::string& discovery) {
+  at(discovery);
+  stop();
+  whole_ = true, wait_ = 0;
+  call();
+}
+
 void Watch::stop() {
   again_.stop();
   if (connection_) evhttp_connection_free(std::exchange(connection_, nullptr));
@@ -54,7 +66,7 @@
   evhttp_add_header(evhttp_request_get_output_headers(request), "Host",
                     (host_ + ":" + std::to_string(port_)).c_str());
   std::string path = "/catalog/members";
-  if (members_.held())
+  if (members_.held() && !whole_)
     path += "?since=" + std::to_string(members_.revision()) + "&timeout_ms=" + std::to_string(kWaitMs);
   if (evhttp_make_request(connection_, request, EVHTTP_REQ_GET, path.c_str()) != 0)
     again_.start(kLongestRetry);  // the request has gone with the failure
@@ -69,6 +81,7 @@
     const char* bytes = n ? reinterpret_cast<const char*>(evbuffer_pullup(body, -1)) : "";
     const auto before = members_.revision();
     trouble = members_.take({bytes, n});
+    if (!trouble) whole_ = false;
     // Danger: an agent that answers at once with nothing new would be asked without end.
     at_once = members_.revision() == before && now() - called_at_ < kFirstRetry;
   } else if (request && evhttp_request_get_response_code(request) != 0) {
--- a/src/broker/watch.h
+++ b/src/broker/watch.h
@@ -19,14 +19,17 @@
   Watch(event_base* base, const std::string& discovery, Members& members, std::function<void(bool)> news);
   ~Watch();
   void call();
+  void move(const std::string& discovery);  // asks there at once, for the whole list
   void stop();
 
  private:
+  void at(const std::string& discovery);
   void answered(evhttp_request* request);
 
   event_base* base_;
   std::string host_;
   std::uint16_t port_ = 0;
+  bool whole_ = false;  // moved, and nothing heard yet from the new address
   Members& members_;
   std::function<void(bool)> news_;
   evhttp_connection* connection_ = nullptr;
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -22,6 +22,7 @@
   static Settings from_lines(std::string_view text);
   static Settings from_json(const nlohmann::json& nested);
 
+  bool operator==(const Settings&) const = default;
   bool has(const std::string& path) const { return values_.count(path) != 0; }
   std::string text(const std::string& path, const char* absent) const;
   double number(const std::string& path) const;  // needed
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -213,7 +213,7 @@
   Listener discovery{kDiscovery};
   std::unique_ptr<Peer> watch;
   pid_t pid = 0;
-  std::string folder;
+  std::string folder, config;
 
   explicit World(const Setup& s) : cells(s.cells) {
     if (!s.config.empty()) {
@@ -259,10 +259,11 @@
     return "{\"revision\":" + std::to_string(revision) + ",\"complete\":" + (whole ? "true" : "false") +
            ",\"members\":[" + members + "]}";
   }
-  void start(const std::string& config, bool show_log = false) {
+  void writes(const std::string& bytes) const { std::ofstream(folder + "/config.json") << bytes; }
+  void start(const std::string& with, bool show_log = false) {
     char made[] = "/tmp/cairnhub-test-XXXXXX";
     folder = mkdtemp(made);
-    std::ofstream(folder + "/config.json") << config;
+    writes(config = with);
     pid = fork();
     if (pid == 0) {
       setenv("RELAY_CONFIG", (folder + "/config.json").c_str(), 1);
@@ -283,6 +284,13 @@
     }
     give_up("never ready");
   }
+  void stopping() const {  // until the stop is noted: answers say so
+    for (std::string got; got.find("last") == std::string::npos;) {
+      Client probe;
+      probe.peer.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+      got = probe.reads();
+    }
+  }
   // The next call for the list, printed without its address.
   void asked() {
     if (!watch) watch = std::make_unique<Peer>(discovery.accept());
@@ -515,11 +523,7 @@
   c.asks("m1", "all", {0});
   const std::string first = one.reads();
   kill(w.pid, SIGTERM);
-  while (true) {  // until the stop is noted: answers say so
-    Client probe;
-    probe.peer.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
-    if (probe.reads().find("last") != std::string::npos) break;
-  }
+  w.stopping();
   kill(w.pid, SIGTERM);
   Client late;
   late.asks("m2", "all", {0});
@@ -658,6 +662,47 @@
   c.gets();
 }
 
+void reload() {  // SIGHUP: discovery moves under load; a bad file changes nothing; then a stop, and one more
+  World w(Setup{});
+  Node one(1);
+  w.ready();
+  Client c;
+  w.asked();
+  c.asks("m1", "all", {0});
+  const std::string call = one.reads();
+  std::string config = w.config;
+  const auto hup = [&](const std::string& bytes) {
+    w.writes(bytes);
+    kill(w.pid, SIGHUP);
+  };
+  Listener moved(kDiscovery + 1);
+  hup(config.replace(config.find(text(kDiscovery)), text(kDiscovery).size(), text(kDiscovery + 1)));
+  w.watch = std::make_unique<Peer>(moved.accept());
+  std::printf("at the new address ");
+  w.asked();
+  w.tells(w.list(5, true, "in_service"));
+  w.asked();
+  one.hits(call, "v1");
+  c.gets();
+  const std::string half = config.substr(0, config.size() / 2);
+  for (const std::string& bad : {half, std::string("{}"), std::string()}) {
+    hup(bad);
+    c.asks("m2", "all", {0});
+    one.hits(one.reads(), "v2");
+    c.gets();
+  }
+  w.tells(w.list(6, false, "in_service"));  // the watch goes on where it was
+  w.asked();
+  c.asks("m3", "all", {0});
+  const std::string last = one.reads();
+  kill(w.pid, SIGTERM);
+  w.stopping();
+  hup(config);
+  one.hits(last, "v3");
+  c.gets();
+  w.ends();
+}
+
 void descriptors() {  // connections without end: accepting pauses, what was taken is served, then it goes on
   World w({.sockets = 64});
   Node one(1);
@@ -757,6 +802,7 @@
       {"bad_input", bad_input},
       {"bad_frames", bad_frames},
       {"list", list},
+      {"reload", reload},
       {"descriptors", descriptors},
       {"part_written", part_written},
       {"bad_config", bad_config},
