Dead connections to nodes are told from dead nodes; nodes long gone are forgotten

Checked: link_with_room in send.cpp chose a dead connection for as long as it stood, and each trial of a suspect went there too, so that the nodes looked hung for good. A frame that never ended left its connection waiting for ever (readable), and an answer for a part of nobody was dropped as if it crossed its give-up. Ruled out: load (CPU 0.1 of a core, half the nodes' capacity), descriptors (59 of 1024), the list (no change). Now time waited in vain on a connection adds up until a good frame comes; past the connect time-out it carries nothing further and closes when empty. A frame must end within that time once begun. A spoilt answer ends its connection's parts as errors that may have run, not as a break of the node. Names given up are remembered by the connection: a late answer to a name used again counts as an error, one to a name never known closes the connection. A load report of any form leaves the answer good. The decider now forgets one gone for longer than its warm-up and the longest route timeout with nothing out, and says so. The limit of multigets in hand (64 at 32 MB) assumed a quarter MiB of each; bytes taken are counted instead. Stories bad_frames, mute, forgotten, many and long_gone differ without the change.

--- a/src/broker/admit.cpp
+++ b/src/broker/admit.cpp
@@ -10,10 +10,9 @@
 
 namespace {
 
-// What one multiget may take: its body as text and as JSON, the values of its parts, and the answer.
-constexpr std::size_t kMostBytes = 4 * 65536;
-// Share of the process's memory for multigets in hand; the rest is for connections and the program.
-constexpr std::size_t kMemoryShare = 2;
+// Multigets are taken while those in hand take less than this part of the process's memory; the rest is for
+// the values to come, for connections and for the program.
+constexpr std::size_t kMemoryShare = 4;
 constexpr std::size_t kLongestName = 128;
 // The parts' shares may miss 1 by so much, all together.
 constexpr double kRounding = 0.001;
@@ -34,10 +33,7 @@
 }  // namespace
 
 Admit::Admit(const settings::Settings& s, std::size_t memory, Book& book, Route& route)
-    : shards_(s.whole("family-info.ranges")),
-      most_(std::max<std::size_t>(1, memory / kMemoryShare / kMostBytes)),
-      book_(book),
-      route_(route) {
+    : shards_(s.whole("family-info.ranges")), most_(memory / kMemoryShare), book_(book), route_(route) {
   for (int i = 0; i < s.whole("classes.count"); ++i) {
     const std::string at = "classes." + std::to_string(i) + ".";
     op_types_[s.text(at + "name", "")] = {i, s.span(at + "deadline")};
@@ -51,7 +47,7 @@
     return 0;
   }
   // Danger: a flood. Nothing of it has been sent, so trying again is harmless.
-  if (book_.held() >= most_) {
+  if (book_.bytes() >= most_) {
     client->answer(503, "", "too many in hand\n");
     return 0;
   }
--- a/src/broker/admit.h
+++ b/src/broker/admit.h
@@ -33,7 +33,7 @@
 
   std::unordered_map<std::string, OpRead> op_types_;
   int shards_;
-  std::size_t most_;
+  std::size_t most_;  // bytes
   Book& book_;
   Route& route_;
 };
--- a/src/broker/book.cpp
+++ b/src/broker/book.cpp
@@ -8,6 +8,8 @@
 
 // No answer to a client holds more.
 constexpr std::size_t kValuesMost = 65536;
+// What a part takes here, at its sends and in the decider, beside its bytes; and a multiget as much again.
+constexpr std::size_t kPartBytes = 2048;
 
 Outcome outcome(const Result& r) {
   switch (r.end) {
@@ -19,6 +21,8 @@
       return Outcome::full;
     case End::broken:
       return r.reached == Reached::wholly_written ? Outcome::reset : Outcome::connect_failed;
+    case End::spoilt:  // the node's connection failed, not the node; it may have run
+      return r.reached == Reached::wholly_written ? Outcome::error : Outcome::connect_failed;
     case End::timed_out:
       return r.reached == Reached::wholly_written ? Outcome::timed_out : Outcome::not_sent;
     case End::given_up:
@@ -32,6 +36,7 @@
 Query& Book::open(std::unique_ptr<Query> query) {
   Query& q = *query;
   q.id = ++last_id_;
+  bytes_ += q.bytes = q.text.size() + kPartBytes * (1 + q.parts.size());
   for (auto& p : q.parts) {
     p->id = ++last_id_;
     p->query = &q;
@@ -59,10 +64,11 @@
   Outcome how = outcome(result);
   if (how == Outcome::ok && q.client && !p.value) {
     // Danger: values without bound. One that can't stand in any answer is as good as none.
-    if (q.value_bytes + result.value.size() > kValuesMost)
+    const std::size_t n = result.value.size();
+    if (q.value_bytes + n > kValuesMost || bytes_ + n > most_)
       how = Outcome::error;
     else
-      p.value = result.value, q.value_bytes += result.value.size();
+      p.value = result.value, q.value_bytes += n, q.bytes += n, bytes_ += n;
   }
   notes_.push_back({p.id, e.index, how, now() - e.sent_at});
   forget_if_done(q);
@@ -87,6 +93,7 @@
     for (const auto& e : p->errands)
       if (!e->ended) return;
   for (const auto& p : q.parts) parts_.erase(p->id);
+  bytes_ -= q.bytes;
   queries_.erase(q.id);
 }
 
--- a/src/broker/book.h
+++ b/src/broker/book.h
@@ -12,7 +12,8 @@
 
 class Book {
  public:
-  explicit Book(Decider& decider) : decider_(decider) {}
+  // `memory`: of the process; values come in only while half of it isn't taken.
+  Book(Decider& decider, std::size_t memory) : decider_(decider), most_(memory / 2) {}
 
   Query& open(std::unique_ptr<Query> query);          // gives it and its parts their ids
   RequestId next_id() const { return last_id_ + 1; }  // of the next opened
@@ -20,6 +21,7 @@
   Part* part(RequestId id) const;
   bool holds(const std::string& name) const { return names_.count(name) != 0; }
   std::size_t held() const { return names_.size(); }
+  std::size_t bytes() const { return bytes_; }  // taken by what is in hand, about
 
   void ended(Errand& errand, const Result& result);
   bool hand_over();          // what was noted goes to the decider; false where there was nothing
@@ -35,6 +37,7 @@
   void forget_if_done(Query& query);
 
   Decider& decider_;
+  std::size_t most_, bytes_ = 0;
   RequestId last_id_ = 0;
   std::unordered_map<RequestId, std::unique_ptr<Query>> queries_;  // looked up, never walked
   std::unordered_map<RequestId, Part*> parts_;
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -40,7 +40,7 @@
 
 struct Broker::Stages {
   Decider decider;
-  Book book{decider};
+  Book book;
   Sender sender;
   Route route;
   Members members;
@@ -54,10 +54,15 @@
 
   Stages(event_base* base, const Config& c)
       : decider(c.seed),
+        book(decider, c.memory),
         sender(
             base, send_limits(c), [this](Errand& e, const Result& r) { book.ended(e, r); },
             [this] { route.turn(); }),
-        route(base, decider, book, sender),
+        route(base, decider, book, sender,
+              [this](NodeId id) {
+                members.forget(id);
+                sender.forget(id);
+              }),
         members(decider, [this](NodeId id, const std::string& name, const Address& at,
                                 NodeState s) { sender.node(id, name, at, s); }),
         admit(c.settings, c.memory, book, route),
--- a/src/broker/frame.cpp
+++ b/src/broker/frame.cpp
@@ -30,12 +30,13 @@
   if (all.empty() || all[0] != 'E') return std::nullopt;
   const auto lf = all.find('\n');
   if (lf == std::string_view::npos) return std::nullopt;
-  std::string_view line = all.substr(1, lf - 1), words[4];
-  for (int i = 0; i < 4; ++i) {
+  // What follows the third word is the load report: whatever stands there, the part has run.
+  std::string_view line = all.substr(1, lf - 1), words[3];
+  for (int i = 0; i < 3; ++i) {
     const auto space = line.find(' ');
     words[i] = line.substr(0, space);
-    if (words[i].empty() || (space == std::string_view::npos) != (i == 3)) return std::nullopt;
-    if (i < 3) line.remove_prefix(space + 1);
+    if (words[i].empty() || space == std::string_view::npos) return std::nullopt;
+    line.remove_prefix(space + 1);
   }
   Ended out{Ended::How::returned, words[0], all.substr(lf + 1)};
   if (words[1] == "fault") {
--- a/src/broker/members.cpp
+++ b/src/broker/members.cpp
@@ -66,7 +66,7 @@
   decider_.list_begins(now(), whole);
   for (const auto& e : read) {
     Known& k = known_[e.id];
-    if (k.id == 0) k.id = known_.size();
+    if (k.id == 0) k.id = ++last_id_;
     k.address = e.address;
     k.named_in = lists_;
     decider_.list_node(k.id, e.state, e.started, e.cell);
@@ -79,4 +79,8 @@
   return nullptr;
 }
 
+void Members::forget(NodeId id) {
+  std::erase_if(known_, [&](const auto& known) { return known.second.id == id; });
+}
+
 }  // namespace cairnhub::broker
--- a/src/broker/members.h
+++ b/src/broker/members.h
@@ -34,6 +34,7 @@
   // Takes a list or changes to it. Nothing of a malformed one is taken: returns what is wrong with it, or
   // null.
   const char* take(std::string_view json);
+  void forget(NodeId id);
   bool held() const { return held_; }
   std::uint64_t revision() const { return revision_; }
 
@@ -46,6 +47,7 @@
   Decider& decider_;
   Tell tell_;
   std::map<std::string, Known> known_;
+  NodeId last_id_ = 0;
   bool held_ = false;
   std::uint64_t revision_ = 0, lists_ = 0;
 };
--- a/src/broker/query.h
+++ b/src/broker/query.h
@@ -47,6 +47,7 @@
   Time left = 0;
   std::vector<std::unique_ptr<Part>> parts;
   std::size_t value_bytes = 0;
+  std::size_t bytes = 0;           // what it takes of the memory, about
   std::unique_ptr<Client> client;  // none once answered or gone
 };
 
--- a/src/broker/route.cpp
+++ b/src/broker/route.cpp
@@ -5,8 +5,9 @@
 
 namespace cairnhub::broker {
 
-Route::Route(event_base* base, Decider& decider, Book& book, Sender& sender)
-    : decider_(decider), book_(book), sender_(sender), wake_(base, [this] {
+Route::Route(event_base* base, Decider& decider, Book& book, Sender& sender,
+             std::function<void(NodeId)> forget)
+    : decider_(decider), book_(book), sender_(sender), forget_(std::move(forget)), wake_(base, [this] {
         while (!wakes_.empty() && wakes_.begin()->first <= now()) {
           decider_.woken(wakes_.begin()->second);
           wakes_.erase(wakes_.begin());
@@ -81,6 +82,8 @@
         end(*q);
       }
       return;
+    case Kind::forget:
+      return forget_(d.node);
     case Kind::probe:
     case Kind::subscribe:  // the watch always runs
       return;
--- a/src/broker/route.h
+++ b/src/broker/route.h
@@ -9,7 +9,8 @@
 
 class Route {
  public:
-  Route(event_base* base, Decider& decider, Book& book, Sender& sender);
+  // `forget` is told the nodes that the decider has forgotten.
+  Route(event_base* base, Decider& decider, Book& book, Sender& sender, std::function<void(NodeId)> forget);
 
   void arrived(std::unique_ptr<Query> query);
   void abandoned(RequestId query);
@@ -23,6 +24,7 @@
   Decider& decider_;
   Book& book_;
   Sender& sender_;
+  std::function<void(NodeId)> forget_;
   std::multimap<Time, std::uint64_t> wakes_;
   Timer wake_;
   bool turning_ = false;
--- a/src/broker/send.cpp
+++ b/src/broker/send.cpp
@@ -4,6 +4,8 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
+#include <deque>
 #include <list>
 #include <unordered_map>
 #include <utility>
@@ -17,6 +19,8 @@
 
 // Frames are handed to the kernel while less than this waits there, so that the others can be withdrawn.
 constexpr std::size_t kHandedMost = 16384;
+// Names given up that a connection remembers: an answer may cross the note.
+constexpr std::size_t kGivenUpMost = 256;
 // Given-up notes to a node that reads nothing: past this the connection goes.
 constexpr std::size_t kUnreadMost = 262144;
 
@@ -48,7 +52,23 @@
   std::list<std::unique_ptr<Call>> waiting, under_way;
   std::unordered_map<std::string_view, OnWay*> out;  // by name at the node; looked up, never walked
   std::unique_ptr<Timer> limit;                      // to connect, then to be idle
+  std::unique_ptr<Timer> rest;                       // of a frame that has begun to come
+  Time counted = 0;                                  // its last good frame, or silence counted up to here
+  Time silence = 0;                                  // waited in vain since the last good frame
+  std::deque<std::size_t> given_up;                  // hashes of names, oldest first
+  std::string answered;                              // the last name
 
+  bool was_given_up(std::string_view name) const {
+    return std::find(given_up.begin(), given_up.end(), std::hash<std::string_view>{}(name)) != given_up.end();
+  }
+  // Danger: a connection that is dead while its node is not, as after a spoilt answer or a cut: each send on
+  // it would be lost, and the node look hung for good. Harm: a slow node pays for a handshake now and then.
+  void waited_in_vain(Time since) {
+    const Time at = now();
+    silence += at - std::max(since, counted);
+    counted = at;
+  }
+  bool mute() const { return silence > sender->limits_.connect_within; }  // carries nothing new
   std::size_t calls() const { return waiting.size() + under_way.size(); }
   std::uint64_t written() const { return handed - evbuffer_get_length(bufferevent_get_output(bev)); }
 };
@@ -81,6 +101,14 @@
   for (OnWay* way : withdrawn) stop(*way, End::given_up);
 }
 
+void Sender::forget(NodeId id) {
+  const auto it = nodes_.find(id);
+  if (it == nodes_.end()) return;
+  while (!it->second->links.empty()) break_off(*it->second->links.back(), nullptr);
+  std::erase(touched_, it->second.get());
+  nodes_.erase(it);
+}
+
 void Sender::send(Errand& errand, NodeId to) {
   Node& n = *nodes_.at(to);
   auto& way = ways_[&errand] = std::make_unique<OnWay>();
@@ -127,7 +155,8 @@
 Sender::Link* Sender::link_with_room(Node& n) {
   Link* fewest = nullptr;
   for (auto& link : n.links)
-    if (link->to == n.address && (!fewest || link->calls() < fewest->calls())) fewest = link.get();
+    if (link->to == n.address && !link->mute() && (!fewest || link->calls() < fewest->calls()))
+      fewest = link.get();
   if (fewest && fewest->calls() < static_cast<std::size_t>(limits_.calls_a_connection)) return fewest;
   Link* fresh = open_ < limits_.connections ? open(n) : nullptr;
   return fresh ? fresh : fewest;
@@ -143,6 +172,12 @@
     break_off(*l, l->up ? nullptr : "not connected in time");
     turn_();
   });
+  // Danger: a length or a line that is never filled. The node is of no further use on this connection, and
+  // all that waits there would wait for nothing.
+  l->rest = std::make_unique<Timer>(base_, [this, l] {
+    break_off(*l, "a frame without end", End::spoilt);
+    turn_();
+  });
   if (bufferevent_socket_connect(l->bev, reinterpret_cast<sockaddr*>(&l->to.at), l->to.length) != 0) {
     bufferevent_free(l->bev);
     return nullptr;
@@ -208,23 +243,38 @@
   evbuffer* input = bufferevent_get_input(link.bev);
   for (;;) {
     unsigned char head[frame::kLengthBytes];
-    if (evbuffer_copyout(input, head, sizeof head) < static_cast<ev_ssize_t>(sizeof head)) return;
-    const std::size_t n = frame::length(head);
-    if (n == 0 || n > frame::kLongest) return break_off(link, "a frame of no possible length");
-    if (evbuffer_get_length(input) < sizeof head + n) return;
+    const bool begun = evbuffer_copyout(input, head, sizeof head) == static_cast<ev_ssize_t>(sizeof head);
+    const std::size_t n = begun ? frame::length(head) : 1;
+    if (n == 0 || n > frame::kLongest) return break_off(link, "a frame of no possible length", End::spoilt);
+    if (!begun || evbuffer_get_length(input) < sizeof head + n) break;
     const char* bytes = reinterpret_cast<const char*>(evbuffer_pullup(input, sizeof head + n)) + sizeof head;
-    const auto ended = frame::read({bytes, n});
-    if (!ended) return break_off(link, *bytes == 'F' ? "node can't use a frame" : "a malformed frame");
-    // One for a part that is over crosses its give-up: ordinary, dropped.
-    const auto it = link.out.find(ended->id);
-    if (it != link.out.end()) {
-      const End end = ended->how == frame::Ended::How::returned ? End::returned
-                      : ended->how == frame::Ended::How::full   ? End::full
-                                                                : End::error;
-      finish(*it->second, {end, Reached::wholly_written, ended->value});
-    }
+    if (const char* wrong = take_frame(link, {bytes, n})) return break_off(link, wrong, End::spoilt);
     evbuffer_drain(input, sizeof head + n);
+    link.rest->stop();
   }
+  if (evbuffer_get_length(input) == 0)
+    link.rest->stop();
+  else if (!link.rest->pending())
+    link.rest->start(limits_.connect_within);  // what the network may take at the most
+}
+
+const char* Sender::take_frame(Link& link, std::string_view bytes) {
+  const auto ended = frame::read(bytes);
+  if (!ended) return bytes[0] == 'F' ? "node can't use a frame" : "a malformed frame";
+  const auto it = link.out.find(ended->id);
+  const bool given_up = link.was_given_up(ended->id);
+  // One for a part that is over crosses its give-up, or is a second copy: ordinary, dropped. Danger: one for
+  // a part of nobody stands for one that waits, and the node says nothing more here.
+  if (it == link.out.end()) return given_up || ended->id == link.answered ? nullptr : "a part of nobody";
+  link.counted = now(), link.silence = 0;
+  link.answered = ended->id;
+  // Danger: a name used again after it was given up here. This may be the value made for the earlier one.
+  const End end = given_up                                    ? End::error
+                  : ended->how == frame::Ended::How::returned ? End::returned
+                  : ended->how == frame::Ended::How::full     ? End::full
+                                                              : End::error;
+  finish(*it->second, {end, Reached::wholly_written, ended->value});
+  return nullptr;
 }
 
 // How far a send on a broken connection had come.
@@ -247,6 +297,9 @@
     const std::string bytes = frame::give_up(way.errand->part->name);
     way.link->handed += bytes.size();
     bufferevent_write(way.link->bev, bytes.data(), bytes.size());
+    way.link->given_up.push_back(std::hash<std::string_view>{}(way.errand->part->name));
+    if (way.link->given_up.size() > kGivenUpMost) way.link->given_up.pop_front();
+    way.link->waited_in_vain(way.errand->sent_at);
   }
   Link* link = way.link;
   finish(way, {why, told ? Reached::wholly_written : Reached::never_connected, {}});
@@ -266,7 +319,7 @@
       const auto done = [&](const auto& c) { return c.get() == way.call; };
       link->waiting.remove_if(done);
       link->under_way.remove_if(done);
-      if (link->up && link->calls() == 0) link->limit->start(limits_.idle_at_most);
+      if (link->up && link->calls() == 0) link->limit->start(link->mute() ? 0 : limits_.idle_at_most);
     }
   }
   const auto kept = ways_.extract(&errand);  // until told
@@ -274,13 +327,13 @@
 }
 
 // Ends a connection and all that is out on it. No reason: it was idle.
-void Sender::break_off(Link& link, const char* why) {
+void Sender::break_off(Link& link, const char* why, End how) {
   if (why) log("node", "%s: %s, %zu calls on the connection", link.node->name.c_str(), why, link.calls());
   std::vector<std::pair<OnWay*, Reached>> lost;
   for (auto* calls : {&link.under_way, &link.waiting})
     for (auto& call : *calls)
       for (OnWay* way : call->parts) lost.emplace_back(way, reached(*way));
-  for (auto& [way, far] : lost) finish(*way, {End::broken, far, {}});
+  for (auto& [way, far] : lost) finish(*way, {how, far, {}});
   bufferevent_free(link.bev);
   --open_;
   std::erase_if(link.node->links, [&](const auto& l) { return l.get() == &link; });
--- a/src/broker/send.h
+++ b/src/broker/send.h
@@ -18,7 +18,8 @@
 // How far a send had come when it ended. Only one wholly written can have run.
 enum class Reached { never_connected, partly_written, wholly_written };
 
-enum class End { returned, error, full, broken, timed_out, given_up };
+// `spoilt`: its connection was closed from this side, as the node had sent what can't be used there.
+enum class End { returned, error, full, broken, spoilt, timed_out, given_up };
 
 struct Result {
   End end;
@@ -42,6 +43,7 @@
 
   // What the list says of a node; `name` is for the log.
   void node(NodeId id, const std::string& name, const Address& address, NodeState state);
+  void forget(NodeId id);  // one of which nothing is out
   void send(Errand& errand, NodeId to);
   void give_up(Errand& errand);
   void withdraw(Errand& errand);  // gives it up if its frame is not begun
@@ -58,7 +60,8 @@
   void write(Link& link);
   void readable(Link& link);
   void happened(Link& link, short what);
-  void break_off(Link& link, const char* why);
+  const char* take_frame(Link& link, std::string_view bytes);  // what is wrong with it, or null
+  void break_off(Link& link, const char* why, End how = End::broken);
   void finish(OnWay& way, const Result& result);
   void stop(OnWay& way, End why);
   Reached reached(const OnWay& way) const;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -92,6 +92,7 @@
     from_ = from, warm_after_ = warm_after, multiple_ = multiple, span_ = std::max<Time>(span, 1);
   }
   void set_brokers(int brokers) { brokers_ = brokers; }
+  Time warm_after() const { return warm_after_; }
   bool cold(const Node& n, Time now) const { return n.started > 0 && now - n.started < warm_after_; }
   double present_share(const Node& n, Time now) const {
     if (!cold(n, now)) return 1;
@@ -370,7 +371,7 @@
   std::deque<OpType> op_types;
   int parts_a_call = 1;
   bool may_cancel = false, may_say_when = false, complete_list = false;
-  Time longest_wait = 0, listed_at = 0;
+  Time longest_wait = 0, longest_timeout = 0, listed_at = 0;
   std::deque<Decision> cancels;
   std::uint64_t turn = 1, lists = 0;
 
@@ -651,6 +652,10 @@
 
   std::optional<Decision> next(Time now) {
     if (auto d = list.next(now)) return d;
+    // Danger: a fleet whose nodes are always new fills the memory. One that comes back within its warm-up
+    // must be known, or its credit would be given twice; by the time-out no multiget is left that has met it.
+    if (const auto id = nodes.forget_one(now - gate.cold.warm_after() - longest_timeout))
+      return Decision{Decision::Kind::forget, 0, *id};
     while (cancels.empty() && book.first()) {
       if (auto d = consider(*book.first(), now)) return d;
       book.looked_at_first();
@@ -674,6 +679,7 @@
   // copy.
   mine.usual = op.latency_budget / 4, mine.deviation = mine.usual / 4;
   impl_->judge.add_budget(op.latency_budget);
+  impl_->longest_timeout = std::max(impl_->longest_timeout, op.route_timeout);
   impl_->gate.cold.usual_is(mine.usual);
 }
 void Decider::set_layout(int cells, int replicas_in_a_row, int parts_a_call) {
@@ -709,6 +715,7 @@
   Node& n = impl_->nodes.at(id);
   impl_->nodes.place(n, cell);
   n.named_in_list = impl_->lists;
+  if (state != NodeState::gone) n.gone_at = kNever;
   const bool ready = state == NodeState::ready;
   if (ready && n.started != started) {  // another process: what was known of the last one is void
     n.suspect = false, n.loss = 0, n.paces = 0;
@@ -717,6 +724,7 @@
   }
   impl_->nodes.set_ready(n, ready);
   if (state != NodeState::gone) return;
+  impl_->nodes.gone(n, impl_->listed_at);
   for (Send* s : n.out) {
     s->overdue = s->astray = true;
     impl_->book.look_at(*s->part->multiget);
@@ -727,7 +735,9 @@
   impl_->list.told();
   if (!impl_->complete_list) return;
   impl_->nodes.each([&](Node& n) {
-    if (n.named_in_list != impl_->lists) impl_->nodes.set_ready(n, false);
+    if (n.named_in_list == impl_->lists) return;
+    impl_->nodes.set_ready(n, false);
+    impl_->nodes.gone(n, impl_->listed_at);
   });
 }
 
--- a/src/decide.h
+++ b/src/decide.h
@@ -25,6 +25,7 @@
     fail,       // request
     probe,      // node
     subscribe,  // to the list's changes
+    forget,     // node: long gone; should it come back, any id will do
     wake,       // span, token: call woken(token) then
   };
   Kind kind;
--- a/src/model/nodes.h
+++ b/src/model/nodes.h
@@ -1,9 +1,10 @@
-// All nodes ever listed, by id, and by the cell that tells which shards they hold; and the figures taken over
-// all of them, kept up to date so that no event costs more in a larger fleet.
+// All nodes listed, or gone for less than a while, by id, and by the cell that tells which shards they hold;
+// and the figures taken over all of them, kept up to date so that no event costs more in a larger fleet.
 #pragma once
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -51,6 +52,26 @@
     count_return(node, 1);
     for (; returns_.front().first < since; returns_.pop_front()) count_return(*returns_.front().second, -1);
   }
+  void gone(Node& node, Time now) {
+    if (node.gone_at != kNever) return;
+    node.gone_at = now;
+    gone_.emplace_back(now, node.id);
+  }
+  // Forgets one node gone since before `then`, with nothing of ours out or counted; says which.
+  std::optional<NodeId> forget_one(Time then) {
+    for (; !gone_.empty() && gone_.front().first < then; gone_.pop_front()) {
+      const auto it = by_id_.find(gone_.front().second);
+      if (it == by_id_.end() || it->second->gone_at != gone_.front().first) continue;  // listed again since
+      Node& n = *it->second;
+      if (!n.out.empty() || n.returned_lately > 0) return std::nullopt;
+      const NodeId id = n.id;
+      if (n.cell >= 0) std::erase(cells_[n.cell], &n);
+      by_id_.erase(it);
+      gone_.pop_front();
+      return id;
+    }
+    return std::nullopt;
+  }
   double mean_returns() const { return ready_ ? static_cast<double>(returns_of_ready_) / ready_ : 0; }
 
   // In order of id.
@@ -68,6 +89,7 @@
   std::vector<std::vector<Node*>> cells_;
   int replicas_ = 1;
   std::deque<std::pair<Time, Node*>> returns_;  // oldest first
+  std::deque<std::pair<Time, NodeId>> gone_;    // oldest first
   int ready_ = 0, returns_of_ready_ = 0;
 };
 
--- a/src/wirehost/host.cpp
+++ b/src/wirehost/host.cpp
@@ -222,6 +222,8 @@
       reply.put(1, seconds(d.span));
       reply.put(9, d.token);
       break;
+    case Decision::Kind::forget:  // ids are the simulator's own
+      break;
   }
 }
 
--- a/tests/mangled.cpp
+++ b/tests/mangled.cpp
@@ -89,10 +89,10 @@
     const auto s = settings::Settings::from_json(nlohmann::json::parse(kSettings));
     Decider d(1);
     settings::apply(s, d);
-    Book book(d);
+    Book book(d, 1 << 26);
     Sender sender(
         base, {32, 1, kSecond, kSecond, 8}, [](Errand&, const Result&) {}, [] {});
-    Route route(base, d, book, sender);
+    Route route(base, d, book, sender, [](NodeId) {});
     Admit admit(s, 1 << 26, book, route);
     int n = 0;
     tried("request",
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -202,7 +203,8 @@
 struct Setup {
   int cells = 1, replicas = 1, shards = 0;  // no shards stated: as many as cells
   int parts_a_call = 1, sockets = 256, memory_mb = 192;
-  const char *budget = "2", *connect_within = "0.25", *keepalive = "15";
+  const char *budget = "2", *connect_within = "0.25", *keepalive = "15", *deadline = "60", *cold = "10",
+             *fall_span = "2";
   std::string config = {};  // the whole of it, where stated
 };
 
@@ -224,7 +226,7 @@
     std::string classes;
     for (const char* op : {"all", "any", "once"})
       classes += std::string(classes.empty() ? "" : ",") + R"({"name":")" + op + R"(","promise":)" +
-                 s.budget + R"(,"deadline":60,"late-share":0.5,"effect":")" +
+                 s.budget + R"(,"deadline":)" + s.deadline + R"(,"late-share":0.5,"effect":")" +
                  (std::strcmp(op, "once") == 0 ? "single_shot" : "free") + R"("})";
     start(R"({"listen":")" + text(kBroker) + R"(","discovery":")" + text(kDiscovery) +
           R"(","seed":"00000000000000a7","limits":{"cores":1.0,"memory_mb":)" + n(s.memory_mb) +
@@ -232,14 +234,15 @@
           R"(,"settings":{"balancers":2,"callers":{"marks-retry":true},"ceilings":{"cancel":true,)"
           R"("connect-timeout":)" +
           s.connect_within + R"(,"keepalive":)" + s.keepalive +
-          R"(,"max-retry-after":0.5,"multiplex":32,"retry-after":true,"second-copies":true,"try-limit":3},)"
+          R"(,"max-retry-after":0.5,"multiplex":64,"retry-after":true,"second-copies":true,"try-limit":3},)"
           R"("classes":[)" +
           classes +
           R"(],"family-info":{"min-share":[1,0.5,1],"need-by-class":[1,0.5,1],)"
           R"("parts-a-call":)" +
           n(s.parts_a_call) + R"(,"positions":)" + n(s.cells) + R"(,"ranges":)" +
-          n(s.shards ? s.shards : s.cells) + R"(,"width":)" + n(s.replicas) +
-          R"(},"rules":{"cold":10,"cold-from":0.2,"fall-multiple":2,"overload-for":2},"tick":0.005}})");
+          n(s.shards ? s.shards : s.cells) + R"(,"width":)" + n(s.replicas) + R"(},"rules":{"cold":)" +
+          s.cold + R"(,"cold-from":0.2,"fall-multiple":2,"overload-for":)" + s.fall_span +
+          R"(},"tick":0.005}})");
   }
   ~World() {
     if (pid > 0) kill(pid, SIGKILL), waitpid(pid, nullptr, 0);
@@ -266,6 +269,7 @@
     writes(config = with);
     pid = fork();
     if (pid == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);  // a story that gives up leaves nothing behind
       setenv("RELAY_CONFIG", (folder + "/config.json").c_str(), 1);
       dup2(show_log ? STDOUT_FILENO : open("/dev/null", O_WRONLY), STDERR_FILENO);
       execl(program.c_str(), "cairnhub", nullptr);
@@ -368,17 +372,19 @@
   w.ready();
   std::vector<std::unique_ptr<Client>> clients;
   std::vector<std::string> calls;
-  for (int i = 0; i < 32; ++i) {
+  const std::string large(62000, 'x');  // 4 of 16 MiB, at 62000 bytes and two records each
+  for (int i = 0; i < 64; ++i) {
     clients.push_back(std::make_unique<Client>());
-    clients.back()->peer.write(Client::request("m" + std::to_string(i), "all", Client::parts({0}), "60"));
+    clients.back()->peer.write(
+        Client::request("m" + std::to_string(i), "all", Client::parts({0}, large), "60"));
     calls.push_back(one.reads(false));
   }
   Client c;
-  c.asks("m32", "all", {0});
+  c.asks("m64", "all", {0});
   c.gets();
   one.hits(calls[0], "v");
   clients[0]->gets();
-  c.asks("m33", "all", {0});
+  c.asks("m65", "all", {0}, "60");
   one.hits(one.reads(), "v");
   c.gets();
 }
@@ -641,6 +647,8 @@
                                framed('Q', "?"),
                                framed('E', "x hit 7\n"),
                                framed('E', "x maybe 7 -\n"),
+                               framed('E', "other.0 hit 7 -\nx"),
+                               framed('E', "m7.0 hit 7").substr(0, 9),
                                std::string(4, '\0'),
                                "\xff\xff\xff\x7f"
                                "E"};
@@ -656,10 +664,38 @@
     one.reads();
     c.gets();
   }
-  c.asks("last", "once", {0});
-  const std::string call = one.reads();
-  one.peer->write(framed('E', "other.0 hit 7 -\nx"));  // a part of nobody: dropped
-  one.hits(call, "v");
+  const std::string good = " hit 7 load=?, \x01 two words\nv";  // and again: a second copy
+  c.asks("copy", "once", {0});
+  one.reads();
+  one.peer->write(framed('E', "copy.0" + good) + framed('E', "copy.0" + good));
+  c.gets();
+  c.asks("noise", "once", {0});  // on the same connection
+  one.reads();
+  one.peer->write(framed('E', "noise.0" + good) + "noise noise noise");
+  c.gets();
+  one.reads();
+  {
+    Client early;
+    early.asks("again", "once", {0});
+    one.reads();
+  }
+  one.reads();  // given up, then asked anew by the same name
+  c.asks("again", "once", {0});
+  one.hits(one.reads(), "the earlier one's");
+  c.gets();
+}
+
+void mute() {  // a connection that brought nothing for long carries nothing further
+  World w(Setup{});
+  Node one(1);
+  w.ready();
+  Client c;
+  c.asks("m1", "all", {0}, "1");
+  one.reads();
+  c.gets();
+  one.reads(), one.reads();
+  c.asks("m2", "all", {0});
+  one.hits(one.reads(), "v");
   c.gets();
 }
 
@@ -734,6 +770,34 @@
   w.ends();
 }
 
+void forgotten() {  // a node long gone is forgotten, its connection with it; listed again, it's as good as
+                    // new
+  World w({.cells = 2, .budget = "0.3", .deadline = "0.3", .cold = "0.2", .fall_span = "0.1"});
+  Node one(1), two(2);
+  w.ready();
+  Client c;
+  const auto served = [&](const char* name, Node& by) {
+    c.asks(name, "all", {by.number - 1});
+    by.hits(by.reads(), "v");
+    c.gets();
+  };
+  w.asked();
+  served("m1", two);
+  w.tells(w.list(2, false, "terminated", 2));
+  w.asked();
+  for (int i = 0; !readable(two.peer->fd, 10); ++i) {  // what two returned must fade from the counts too
+    if (i == 300) give_up("a node long gone keeps its connection");
+    c.peer.write(Client::request("p", "all", Client::parts({0})));
+    const std::string call = one.reads(false);
+    one.peer->write(framed('E', call.substr(1, call.find(' ') - 1) + " hit 7 -\nv"));
+    c.reads();
+  }
+  two.reads();
+  w.tells(w.list(3, false, "in_service", 2));
+  w.asked();
+  served("m2", two);
+}
+
 void descriptors() {  // connections without end: accepting pauses, what was taken is served, then it goes on
   World w({.sockets = 64});
   Node one(1);
@@ -832,8 +896,10 @@
       {"stop", stop},
       {"bad_input", bad_input},
       {"bad_frames", bad_frames},
+      {"mute", mute},
       {"list", list},
       {"reload", reload},
+      {"forgotten", forgotten},
       {"descriptors", descriptors},
       {"part_written", part_written},
       {"bad_config", bad_config},
--- a/tests/story.h
+++ b/tests/story.h
@@ -106,6 +106,7 @@
       say("push back %u, come back in %lld", x.request, static_cast<long long>(x.span / kMs));
     if (x.kind == K::fail) say("fail %u", x.request);
     if (x.kind == K::subscribe) say("subscribe");
+    if (x.kind == K::forget) say("forget node %llu", id_of(x.node));
   }
 };
 
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -136,6 +136,20 @@
   std::printf("a part at once from %d of 100 brokers, within the next span from %d\n", first, later);
 }
 
+void long_gone() {  // forgotten 13 s after it has gone, the warm-up and the route timeout, if nothing is out
+  Story s(Story::op(), 2, 1);
+  s.nodes(2);
+  s.ask(1, {0}, 60 * kSecond);
+  s.change(1, NodeState::gone);
+  s.change(2, NodeState::gone);
+  s.change(2, NodeState::ready);
+  s.run_to(14000);
+  s.change(2, NodeState::ready);
+  s.back(10, Outcome::cancelled);
+  s.change(1, NodeState::ready);
+  s.ask(2, {0});
+}
+
 void in_part() {  // rule 5: least half, need all: time up with one of two in, then with none
   OpType op = Story::op();
   op.least = 0.5, op.partial_share = 0.9;
@@ -349,6 +363,7 @@
                                                     {"cold_cap", cold_cap},
                                                     {"cold_sum", cold_sum},
                                                     {"in_part", in_part},
+                                                    {"long_gone", long_gone},
                                                     {"second_step", second_step},
                                                     {"send_budget", send_budget},
                                                     {"overdue_undrawn", overdue_undrawn},
