Story of too many in hand no longer hangs on how fast the machine is

Under the sanitizers the first answer came after a second, so that the node looked too slow for 64 in a row and the last multiget was pushed back. The latest is answered instead: its latency is shared by all before it.

--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -382,8 +382,8 @@
   Client c;
   c.asks("m64", "all", {0});
   c.gets();
-  one.hits(calls[0], "v");
-  clients[0]->gets();
+  one.hits(calls[63], "v");  // the latest, so that the node looks quick
+  clients[63]->gets();
   c.asks("m65", "all", {0}, "60");
   one.hits(one.reads(), "v");
   c.gets();
