An eighth of the descriptors is for idle clients, the longest idle go first

Lines at fault: TakeIn::overstays and accepted, which let idle connections go only past half of our own descriptors and after 2 s. The story stay gives up or differs without the change.

--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -22,8 +22,8 @@
 // An idle connection to a node is let go after this share of the time after which the node would.
 constexpr double kIdleShare = 0.75;
 // Of the descriptors, for the loop, the log, the watch and the listener, with some to spare; of the rest a
-// quarter is for nodes.
-constexpr std::size_t kOwnDescriptors = 24, kNodeShare = 4;
+// quarter is for nodes. Of all an eighth may be held by idle clients.
+constexpr std::size_t kOwnDescriptors = 24, kNodeShare = 4, kIdleClients = 8;
 
 SendLimits send_limits(const Config& c) {
   const auto& s = c.settings;
@@ -71,7 +71,7 @@
                 if (!told) decider.list_failed(now());
                 route.turn();
               }),
-        take_in(base, c.listen, pause_at(c), admit, route),
+        take_in(base, c.listen, pause_at(c), c.descriptors / kIdleClients, admit, route),
         in_force(c),
         closing(base, [this] { close(); }) {
     settings::apply(c.settings, decider);
--- a/src/broker/take_in.cpp
+++ b/src/broker/take_in.cpp
@@ -29,9 +29,8 @@
 constexpr int kStillSeconds = 10;
 // From connecting to the first whole request, and from the first byte to the last of any other.
 constexpr Time kWholeWithin = 2400 * kSecond / 1000;
-// While descriptors run short: one that has been answered may stay idle so long, one that has said nothing
-// since it connected so long.
-constexpr Time kIdleCrowded = 2 * kSecond, kSilentPaused = 250 * kSecond / 1000;
+// While accepting pauses: how long one may say nothing after it connected.
+constexpr Time kSilentPaused = 250 * kSecond / 1000;
 constexpr Time kLookEvery = 50 * kSecond / 1000;
 
 std::size_t input_length(evhttp_connection* c) {
@@ -118,8 +117,14 @@
   evbuffer_remove_cb(bufferevent_get_input(evhttp_connection_get_bufferevent(connection)), came, this);
 }
 
-TakeIn::TakeIn(event_base* base, const std::string& listen, int pause_at, Admit& admit, Route& route)
-    : base_(base), pause_at_(pause_at), look_(base, [this] { look_after(); }), admit_(admit), route_(route) {
+TakeIn::TakeIn(event_base* base, const std::string& listen, int pause_at, std::size_t most_idle, Admit& admit,
+               Route& route)
+    : base_(base),
+      pause_at_(pause_at),
+      most_idle_(most_idle),
+      look_(base, [this] { look_after(); }),
+      admit_(admit),
+      route_(route) {
   Address at;
   if (!parse_address(listen, at)) throw std::runtime_error("configuration: listen is not an address");
   http_ = evhttp_new(base);
@@ -182,7 +187,6 @@
   const int next = dup(evconnlistener_get_fd(listener_));
   if (next >= 0) close(next);
   const bool paused = next < 0 || next >= pause_at_;
-  crowded_ = paused || next >= pause_at_ / 2;
   if (paused != std::exchange(paused_, paused)) {
     log("descriptors", paused ? "accepting pauses" : "accepting goes on");
     paused ? evconnlistener_disable(listener_) : evconnlistener_enable(listener_);
@@ -222,19 +226,34 @@
   }
   accepted();
   let_go([this](const Door& door) { return overstays(door); });
+  // Danger: clients that ask once and keep their connection. What lets them in before us counts the idle ones
+  // too, and has none left for others long before our own descriptors run short. Harm: a client whose next
+  // request crosses the close has to send it anew.
+  std::vector<Time> since;
+  for (auto& [connection, door] : doors_)
+    if (idle(*door)) since.push_back(door->since);
+  if (since.size() > most_idle_) {
+    const auto newest_to_go = since.end() - static_cast<std::ptrdiff_t>(most_idle_) - 1;
+    std::nth_element(since.begin(), newest_to_go, since.end());
+    let_go([until = *newest_to_go](const Door& door) { return idle(door) && door.since <= until; });
+  }
   if (!doors_.empty() || paused_) look_.start(kLookEvery);
 }
 
-// Danger: clients that connect and say nothing, or half of something, or keep their connection for good, use
-// up the descriptors. Harm: a usual client whose next request crosses the close has to send it anew.
+// Danger: clients that connect and say nothing, or half of something, use up the descriptors.
 bool TakeIn::overstays(const Door& door) const {
   if (door.asked || output_length(door.connection) > 0) return false;
   const Time at = now();
   if (!door.has_asked) return at - door.since > (paused_ && !door.begun ? kSilentPaused : kWholeWithin);
-  if (door.begun) return at - door.begun > kWholeWithin;
+  return door.begun && at - door.begun > kWholeWithin;
+}
+
+// Whether it has been answered and asks nothing.
+bool TakeIn::idle(const Door& door) {
+  if (door.asked || !door.has_asked || door.begun || output_length(door.connection) > 0) return false;
   int unread = 0;
   ioctl(bufferevent_getfd(evhttp_connection_get_bufferevent(door.connection)), FIONREAD, &unread);
-  return crowded_ && unread == 0 && at - door.since > kIdleCrowded;
+  return unread == 0;
 }
 
 template <class F>
--- a/src/broker/take_in.h
+++ b/src/broker/take_in.h
@@ -21,8 +21,10 @@
 
 class TakeIn {
  public:
-  // `pause_at`: the descriptor from which on no further connection is accepted.
-  TakeIn(event_base* base, const std::string& listen, int pause_at, Admit& admit, Route& route);
+  // `pause_at`: the descriptor from which on no further connection is accepted. Past `most_idle` connections
+  // that have been answered, those idle longest are let go.
+  TakeIn(event_base* base, const std::string& listen, int pause_at, std::size_t most_idle, Admit& admit,
+         Route& route);
   ~TakeIn();
 
   void last_answers();                           // from now on each answer ends its connection
@@ -39,6 +41,7 @@
   void accepted();
   void look_after();
   bool overstays(const Door& door) const;
+  static bool idle(const Door& door);
   template <class F>
   void let_go(F which);
 
@@ -46,12 +49,13 @@
   evhttp* http_ = nullptr;
   evconnlistener* listener_ = nullptr;
   int pause_at_;
+  std::size_t most_idle_;
   Timer look_;
   Admit& admit_;
   Route& route_;
   std::vector<bufferevent*> fresh_;  // accepted in this turn of the loop; held until they get their doors
   std::map<evhttp_connection*, std::unique_ptr<Door>> doors_;
-  bool crowded_ = false, paused_ = false, last_answers_ = false, closed_ = false;
+  bool paused_ = false, last_answers_ = false, closed_ = false;
 };
 
 }  // namespace cairnhub::broker
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -798,6 +798,22 @@
   served("m2", two);
 }
 
+void stay() {  // clients that ask once and stay: an eighth of the descriptors is for them, the longest idle
+               // go
+  World w({.sockets = 64});
+  w.ready();
+  const std::string asks = "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n";
+  std::vector<std::unique_ptr<Client>> clients;
+  for (int i = 0; i < 20; ++i) {
+    clients.push_back(std::make_unique<Client>());
+    clients.back()->peer.write(asks);
+    clients.back()->reads();
+  }
+  for (int i = 0; i < 12; ++i) std::printf("client %d: %s\n", i, clients[i]->reads().c_str());
+  clients[12]->peer.write(asks);
+  std::printf("client 12: %s\n", clients[12]->reads().c_str());
+}
+
 void descriptors() {  // connections without end: accepting pauses, what was taken is served, then it goes on
   World w({.sockets = 64});
   Node one(1);
@@ -900,6 +916,7 @@
       {"list", list},
       {"reload", reload},
       {"forgotten", forgotten},
+      {"stay", stay},
       {"descriptors", descriptors},
       {"part_written", part_written},
       {"bad_config", bad_config},
