Stand-ins of nodes, clients and discovery move to a library of their own

Stories to come need the same hosts, discovery and clients as those of the platform's form. What tests/sockets.cpp had of them now stands in tests/stand_ins/, a file each; no behaviour changes.

--- /dev/null
+++ b/tests/stand_ins/client.h
@@ -0,0 +1,56 @@
+// A client of the platform's own form.
+#pragma once
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "stand_ins/net.h"
+
+namespace cairnhub::stand_ins {
+
+struct Client {
+  Peer peer;
+  Client() : peer(connect_to(kBroker)) {}
+  static std::string request(const std::string& name, const std::string& op, const std::string& body,
+                             const std::string& left = "5") {
+    return "POST /" + op + " HTTP/1.1\r\nHost: x\r\nX-Txn: " + name + "\r\nX-Lane: " + op +
+           "\r\nX-Org: a\r\nX-Remaining: " + left + "\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+  }
+  static std::string parts(const std::vector<int>& shards, const std::string& body = "c41e") {
+    std::string list;
+    for (const int s : shards)
+      list += (list.empty() ? "" : ",") + std::string("{\"bucket\":") + std::to_string(s) +
+              ",\"part\":" + std::to_string(1.0 / static_cast<double>(shards.size())) + "}";
+    return "{\"buckets\":[" + list + "],\"body\":\"" + body + "\"}";
+  }
+  void asks(const std::string& name, const std::string& op, const std::vector<int>& shards,
+            const char* left = "5", const char* body = "c41e") {
+    std::printf("client asks %s: %s of %zu parts\n", name.c_str(), op.c_str(), shards.size());
+    peer.write(request(name, op, parts(shards, body), left));
+  }
+  // Status, further headers that matter, and the body.
+  std::string reads() {
+    for (;;) {
+      const auto end = peer.in.find("\r\n\r\n");
+      if (end != std::string::npos) {
+        const std::string head = peer.in.substr(0, end);
+        const auto at = head.find("Content-Length: ");
+        const std::size_t n = at == std::string::npos ? 0 : std::stoul(head.substr(at + 16));
+        if (peer.in.size() >= end + 4 + n) {
+          std::string out = head.substr(9, 3);
+          if (head.find("\r\nRetry-After: ") != std::string::npos) out += " come back later";
+          if (head.find("\r\nConnection: close") != std::string::npos) out += " last";
+          out += " " + peer.take(end + 4 + n).substr(end + 4);
+          for (char& c : out)
+            if (c == '\n') c = ' ';
+          return out;
+        }
+      }
+      if (!peer.more()) return "connection ended";
+    }
+  }
+  void gets() { std::printf("client gets: %s\n", reads().c_str()); }
+};
+
+}  // namespace cairnhub::stand_ins
--- /dev/null
+++ b/tests/stand_ins/world.h
@@ -0,0 +1,133 @@
+// The program under test with its discovery, as a story's deployment has them.
+#pragma once
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+
+#include <csignal>
+#include <cstring>
+#include <fstream>
+#include <memory>
+#include <string>
+
+#include "stand_ins/client.h"
+
+namespace cairnhub::stand_ins {
+
+// How a story's deployment differs from the others'.
+struct Setup {
+  int cells = 1, replicas = 1, shards = 0;  // no shards stated: as many as cells
+  int parts_a_call = 1, sockets = 256, memory_mb = 192;
+  const char *budget = "2", *connect_within = "0.25", *keepalive = "15", *deadline = "60", *cold = "10",
+             *fall_span = "2";
+  std::string config = {};  // the whole of it, where stated
+};
+
+// The program with its surroundings. Op types: `all` needs every part, `any` half of them, `once` every part
+// and may not be repeated.
+struct World {
+  int cells;
+  Listener discovery{kDiscovery};
+  std::unique_ptr<Peer> watch;
+  pid_t pid = 0;
+  std::string folder, config;
+
+  explicit World(const Setup& s) : cells(s.cells) {
+    if (!s.config.empty()) {
+      start(s.config, true);
+      return;
+    }
+    const auto n = [](int number) { return std::to_string(number); };
+    std::string classes;
+    for (const char* op : {"all", "any", "once"})
+      classes += std::string(classes.empty() ? "" : ",") + R"({"name":")" + op + R"(","promise":)" +
+                 s.budget + R"(,"deadline":)" + s.deadline + R"(,"late-share":0.5,"effect":")" +
+                 (std::strcmp(op, "once") == 0 ? "single_shot" : "free") + R"("})";
+    start(R"({"listen":")" + text(kBroker) + R"(","discovery":")" + text(kDiscovery) +
+          R"(","seed":"00000000000000a7","limits":{"cores":1.0,"memory_mb":)" + n(s.memory_mb) +
+          R"(,"sockets":)" + n(s.sockets) + R"(},"known":)" + list(1, true, "in_service") +
+          R"(,"settings":{"balancers":2,"callers":{"marks-retry":true},"ceilings":{"cancel":true,)"
+          R"("connect-timeout":)" +
+          s.connect_within + R"(,"keepalive":)" + s.keepalive +
+          R"(,"max-retry-after":0.5,"multiplex":64,"retry-after":true,"second-copies":true,"try-limit":3},)"
+          R"("classes":[)" +
+          classes +
+          R"(],"family-info":{"min-share":[1,0.5,1],"need-by-class":[1,0.5,1],)"
+          R"("parts-a-call":)" +
+          n(s.parts_a_call) + R"(,"positions":)" + n(s.cells) + R"(,"ranges":)" +
+          n(s.shards ? s.shards : s.cells) + R"(,"width":)" + n(s.replicas) + R"(},"rules":{"cold":)" +
+          s.cold + R"(,"cold-from":0.2,"fall-multiple":2,"overload-for":)" + s.fall_span +
+          R"(},"tick":0.005}})");
+  }
+  ~World() {
+    if (pid > 0) kill(pid, SIGKILL), waitpid(pid, nullptr, 0);
+    unlink((folder + "/config.json").c_str());
+    rmdir(folder.c_str());
+  }
+
+  // The list in discovery's form: node n in cell n - 1, all in one phase but for those named.
+  std::string list(int revision, bool whole, const std::string& phase, int only = 0) const {
+    std::string members;
+    for (int n = 1; n <= cells; ++n)
+      if (only == 0 || n == only)
+        members += (members.empty() ? "" : ",") + std::string("{\"id\":\"s-") + std::to_string(n) +
+                   "\",\"host_port\":\"" + text(kNode + n) +
+                   "\",\"locality\":\"a\",\"flavor\":\"m\",\"cell\":" + std::to_string(n - 1) +
+                   ",\"phase\":\"" + phase + "\",\"size\":1.0,\"up_since_ms\":0}";
+    return "{\"revision\":" + std::to_string(revision) + ",\"complete\":" + (whole ? "true" : "false") +
+           ",\"members\":[" + members + "]}";
+  }
+  void writes(const std::string& bytes) const { std::ofstream(folder + "/config.json") << bytes; }
+  void start(const std::string& with, bool show_log = false) {
+    char made[] = "/tmp/cairnhub-test-XXXXXX";
+    folder = mkdtemp(made);
+    writes(config = with);
+    pid = fork();
+    if (pid == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);  // a story that gives up leaves nothing behind
+      setenv("RELAY_CONFIG", (folder + "/config.json").c_str(), 1);
+      dup2(show_log ? STDOUT_FILENO : open("/dev/null", O_WRONLY), STDERR_FILENO);
+      execl(program.c_str(), "cairnhub", nullptr);
+      _exit(127);
+    }
+  }
+  void ready() {
+    for (int i = 0; i < kPatienceMs; ++i) {
+      Client c;
+      if (c.peer.fd < 0) {
+        poll(nullptr, 0, 1);
+        continue;
+      }
+      c.peer.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+      if (c.reads().rfind("200", 0) == 0) return;
+    }
+    give_up("never ready");
+  }
+  void stopping() const {  // until the stop is noted: answers say so
+    for (std::string got; got.find("last") == std::string::npos;) {
+      Client probe;
+      probe.peer.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+      got = probe.reads();
+    }
+  }
+  // The next call for the list, printed without its address.
+  void asked() {
+    if (!watch) watch = std::make_unique<Peer>(discovery.accept());
+    while (watch->in.find("\r\n\r\n") == std::string::npos)
+      if (!watch->more()) return std::printf("discovery: connection ended\n"), watch.reset();
+    std::printf("discovery is asked: %s\n", watch->in.substr(0, watch->in.find(" HTTP")).c_str());
+    watch->in.clear();
+  }
+  void tells(const std::string& body) {
+    watch->write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
+  void ends() {
+    int status = 0;
+    waitpid(pid, &status, 0);
+    pid = 0;
+    std::printf("program ends: %s %d\n", WIFEXITED(status) ? "exit" : "signal",
+                WIFEXITED(status) ? WEXITSTATUS(status) : WTERMSIG(status));
+  }
+};
+
+}  // namespace cairnhub::stand_ins
