A client is told how its multiget ended; the form of the answer is its front's

Two-phase multigets, and protocols to come, need to hear of values and ends without the platform's form. Client now hears of each value, which it may call spoilt, and of its multiget's one end; Reply is where an answer is written. Admit's checks can be used one by one, a part may carry a text of its own, further fronts can stand on the listener, and route asks for what follows at the end of each turn.

--- a/src/broker/admit.cpp
+++ b/src/broker/admit.cpp
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "broker/relay.h"
+
 namespace cairnhub::broker {
 
 namespace {
@@ -40,25 +42,33 @@
   }
 }
 
-RequestId Admit::take(const Asked& asked, std::unique_ptr<Client> client) {
+RequestId Admit::take(const Asked& asked, std::unique_ptr<Reply> reply) {
   auto query = std::make_unique<Query>();
   if (const char* wrong = read(asked, *query)) {
-    client->answer(std::strcmp(wrong, "no such op type") == 0 ? 404 : 400, "", std::string(wrong) + "\n");
+    reply->answer(std::strcmp(wrong, "no such op type") == 0 ? 404 : 400, "", std::string(wrong) + "\n");
     return 0;
   }
-  // Danger: a flood. Nothing of it has been sent, so trying again is harmless.
-  if (book_.bytes() >= most_) {
-    client->answer(503, "", "too many in hand\n");
+  if (full()) {
+    reply->answer(503, "", "too many in hand\n");
     return 0;
   }
-  query->client = std::move(client);
+  query->client = relay::client(std::move(reply));
   const RequestId id = book_.next_id();
   route_.arrived(std::move(query));
   return id;
 }
 
-// What is wrong with it, or null.
 const char* Admit::read(const Asked& asked, Query& q) const {
+  if (const char* wrong = read_head(asked, q)) return wrong;
+  const auto json = nlohmann::json::parse(asked.body, nullptr, false);
+  if (!json.is_object()) return "the body is not a JSON object";
+  const auto text = json.find("body");
+  if (text == json.end() || !text->is_string()) return "body is missing or not text";
+  q.text = text->get<std::string>();
+  return read_parts(json, q);
+}
+
+const char* Admit::read_head(const Asked& asked, Query& q) const {
   const auto op = op_types_.find(std::string(asked.op_type));
   if (op == op_types_.end()) return "no such op type";
   if (!asked.op_type_said || asked.op_type != asked.op_type_said)
@@ -72,14 +82,13 @@
   q.op_type = op->second.index;
   q.left = static_cast<Time>(std::min(left, seconds(op->second.route_timeout)) * kSecond);
   q.client_retry = asked.retry && std::strcmp(asked.retry, "1") == 0;
+  return nullptr;
+}
 
-  const auto json = nlohmann::json::parse(asked.body, nullptr, false);
-  if (!json.is_object()) return "the body is not a JSON object";
-  const auto text = json.find("body"), parts = json.find("buckets");
-  if (text == json.end() || !text->is_string()) return "body is missing or not text";
-  if (parts == json.end() || !parts->is_array() || parts->empty())
+const char* Admit::read_parts(const nlohmann::json& body, Query& q) const {
+  const auto parts = body.find("buckets");
+  if (parts == body.end() || !parts->is_array() || parts->empty())
     return "buckets is missing or not a list of parts";
-  q.text = text->get<std::string>();
   std::set<int> named;
   double sum = 0;
   for (const auto& p : *parts) {
--- a/src/broker/admit.h
+++ b/src/broker/admit.h
@@ -1,6 +1,7 @@
 // The admitting stage: validity, the process's hard limits. What passes is whole and well
 // formed; policy is the decider's.
 #pragma once
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <unordered_map>
 
@@ -21,8 +22,14 @@
  public:
   Admit(const settings::Settings& s, std::size_t memory, Book& book, Route& route);
 
-  // Takes it, and returns its id; or refuses it with a plain answer to `client`, and returns 0.
-  RequestId take(const Asked& asked, std::unique_ptr<Client> client);
+  // Takes it, and returns its id; or refuses it with a plain answer, and returns 0.
+  RequestId take(const Asked& asked, std::unique_ptr<Reply> reply);
+
+  // For fronts of other forms: what is wrong, or null.
+  const char* read_head(const Asked& asked, Query& into) const;  // all but the body
+  const char* read_parts(const nlohmann::json& body, Query& into) const;
+  // Danger: a flood. Whatever is turned away here has sent nothing, so trying again is harmless.
+  bool full() const { return book_.bytes() >= most_; }
 
  private:
   struct OpRead {
--- a/src/broker/book.cpp
+++ b/src/broker/book.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-// No answer to a client holds more.
-constexpr std::size_t kValuesMost = 65536;
 // What a part takes here, at its sends and in the decider, beside its bytes; and a multiget as much again.
 constexpr std::size_t kPartBytes = 2048;
 
@@ -36,7 +34,9 @@
 Query& Book::open(std::unique_ptr<Query> query) {
   Query& q = *query;
   q.id = ++last_id_;
-  bytes_ += q.bytes = q.text.size() + kPartBytes * (1 + q.parts.size());
+  q.bytes = q.text.size() + kPartBytes * (1 + q.parts.size());
+  for (auto& p : q.parts) q.bytes += p->text ? p->text->size() : 0;
+  bytes_ += q.bytes;
   for (auto& p : q.parts) {
     p->id = ++last_id_;
     p->query = &q;
@@ -65,7 +65,7 @@
   if (how == Outcome::ok && q.client && !p.value) {
     // Danger: values without bound. One that can't stand in any answer is as good as none.
     const std::size_t n = result.value.size();
-    if (q.value_bytes + n > kValuesMost || bytes_ + n > most_)
+    if (q.value_bytes + n > q.values_most || bytes_ + n > most_ || !q.client->usable(p, result.value))
       how = Outcome::error;
     else
       p.value = result.value, q.value_bytes += n, q.bytes += n, bytes_ += n;
--- a/src/broker/book.h
+++ b/src/broker/book.h
@@ -22,6 +22,8 @@
   bool holds(const std::string& name) const { return names_.count(name) != 0; }
   std::size_t held() const { return names_.size(); }
   std::size_t bytes() const { return bytes_; }  // taken by what is in hand, about
+  // What is held for a client beside its multigets, before and after a change of it.
+  void recount(std::size_t before, std::size_t after) { bytes_ += after - before; }
 
   void ended(Errand& errand, const Result& result);
   bool hand_over();          // what was noted goes to the decider; false where there was nothing
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -58,11 +58,13 @@
         sender(
             base, send_limits(c), [this](Errand& e, const Result& r) { book.ended(e, r); },
             [this] { route.turn(); }),
-        route(base, decider, book, sender,
-              [this](NodeId id) {
-                members.forget(id);
-                sender.forget(id);
-              }),
+        route(
+            base, decider, book, sender,
+            [this](NodeId id) {
+              members.forget(id);
+              sender.forget(id);
+            },
+            [] { return false; }),
         members(decider, [this](NodeId id, const std::string& name, const Address& at,
                                 NodeState s) { sender.node(id, name, at, s); }),
         admit(c.settings, c.memory, book, route),
--- a/src/broker/query.h
+++ b/src/broker/query.h
@@ -13,14 +13,27 @@
 struct Part;
 struct Query;
 
-// Who waits for the answer. Whatever protocol the client speaks stands behind this.
-class Client {
+// Where an answer is written, on whatever connection its request came.
+class Reply {
  public:
-  virtual ~Client() = default;
+  virtual ~Reply() = default;
   // `come_back` in seconds as text, or empty. Called once.
   virtual void answer(int status, std::string_view come_back, std::string body) = 0;
 };
 
+// Whose multiget it is. It's told of each value that comes and, once, how the multiget ended; a front stands
+// behind this, and the form of what its client is told.
+class Client {
+ public:
+  virtual ~Client() = default;
+  // Whether a value that a node gave can be used; one that can't counts as a send that failed and may have
+  // run. May only note down.
+  virtual bool usable(const Part&, std::string_view) { return true; }
+  virtual void answered(const Query& query, bool whole) = 0;
+  virtual void pushed_back(Time come_back) = 0;  // 0 = no advice; trying again is harmless
+  virtual void failed() = 0;                     // may have taken effect
+};
+
 // One send of one part, as the sending stage holds it.
 struct Errand {
   Part* part = nullptr;
@@ -34,7 +47,8 @@
   Query* query = nullptr;
   int shard = 0;
   double weight = 0;
-  std::string name;  // at the nodes
+  std::string name;                 // at the nodes
+  std::optional<std::string> text;  // its own; none: the multiget's
   std::optional<std::string> value;
   std::vector<std::unique_ptr<Errand>> errands;
 };
@@ -46,9 +60,9 @@
   bool client_retry = false;
   Time left = 0;
   std::vector<std::unique_ptr<Part>> parts;
-  std::size_t value_bytes = 0;
-  std::size_t bytes = 0;           // what it takes of the memory, about
-  std::unique_ptr<Client> client;  // none once answered or gone
+  std::size_t value_bytes = 0, values_most = 65536;  // no answer in the platform's form holds more
+  std::size_t bytes = 0;                             // what it takes of the memory, about
+  std::unique_ptr<Client> client;                    // none once answered or gone
 };
 
 }  // namespace cairnhub::broker
--- a/src/broker/relay.cpp
+++ b/src/broker/relay.cpp
@@ -21,28 +21,41 @@
   }
 }
 
+class PlatformClient : public Client {
+ public:
+  explicit PlatformClient(std::unique_ptr<Reply> reply) : reply_(std::move(reply)) {}
+  void answered(const Query& q, bool whole) override {
+    std::string body = std::string("{\"finished\":") + (whole ? "true" : "false") + ",\"found\":[";
+    bool first = true;
+    for (const auto& p : q.parts) {
+      if (!p->value) continue;
+      body += first ? "{\"bucket\":" : ",{\"bucket\":";
+      body += std::to_string(p->shard) + ",\"item\":\"";
+      append_text(body, *p->value);
+      body += "\"}";
+      first = false;
+    }
+    reply_->answer(200, "", body + "]}");
+  }
+  void pushed_back(Time come_back) override {
+    reply_->answer(503, come_back_text(come_back), "not now; trying again is harmless\n");
+  }
+  void failed() override { reply_->answer(500, "", "given up; it may have taken effect\n"); }
+
+ private:
+  std::unique_ptr<Reply> reply_;
+};
+
 }  // namespace
 
-void answer(Query& q, bool whole) {
-  std::string body = std::string("{\"finished\":") + (whole ? "true" : "false") + ",\"found\":[";
-  bool first = true;
-  for (const auto& p : q.parts) {
-    if (!p->value) continue;
-    body += first ? "{\"bucket\":" : ",{\"bucket\":";
-    body += std::to_string(p->shard) + ",\"item\":\"";
-    append_text(body, *p->value);
-    body += "\"}";
-    first = false;
-  }
-  q.client->answer(200, "", body + "]}");
+std::unique_ptr<Client> client(std::unique_ptr<Reply> reply) {
+  return std::make_unique<PlatformClient>(std::move(reply));
 }
 
-void push_back(Query& q, Time come_back) {
-  char seconds_text[32] = "";
-  if (come_back > 0) std::snprintf(seconds_text, sizeof seconds_text, "%.3f", seconds(come_back));
-  q.client->answer(503, seconds_text, "not now; trying again is harmless\n");
+std::string come_back_text(Time come_back) {
+  char text[32] = "";
+  if (come_back > 0) std::snprintf(text, sizeof text, "%.3f", seconds(come_back));
+  return text;
 }
 
-void fail(Query& q) { q.client->answer(500, "", "given up; it may have taken effect\n"); }
-
 }  // namespace cairnhub::broker::relay
--- a/src/broker/relay.h
+++ b/src/broker/relay.h
@@ -1,11 +1,15 @@
-// The relaying stage: what a client is answered. Knows the form of answers, not who waits for them.
+// The relaying stage: what a client of the platform's form is answered. Knows the form of answers, not the
+// connection they are written to.
 #pragma once
+#include <memory>
+#include <string>
+
 #include "broker/query.h"
 
 namespace cairnhub::broker::relay {
 
-void answer(Query& query, bool whole);
-void push_back(Query& query, Time come_back);
-void fail(Query& query);
+std::unique_ptr<Client> client(std::unique_ptr<Reply> reply);
+
+std::string come_back_text(Time come_back);  // seconds; empty where there is no advice
 
 }  // namespace cairnhub::broker::relay
--- a/src/broker/route.cpp
+++ b/src/broker/route.cpp
@@ -1,13 +1,17 @@
 #include "broker/route.h"
 
 #include "broker/clock.h"
-#include "broker/relay.h"
 
 namespace cairnhub::broker {
 
 Route::Route(event_base* base, Decider& decider, Book& book, Sender& sender,
-             std::function<void(NodeId)> forget)
-    : decider_(decider), book_(book), sender_(sender), forget_(std::move(forget)), wake_(base, [this] {
+             std::function<void(NodeId)> forget, std::function<bool()> follow_up)
+    : decider_(decider),
+      book_(book),
+      sender_(sender),
+      forget_(std::move(forget)),
+      follow_up_(std::move(follow_up)),
+      wake_(base, [this] {
         while (!wakes_.empty() && wakes_.begin()->first <= now()) {
           decider_.woken(wakes_.begin()->second);
           wakes_.erase(wakes_.begin());
@@ -15,14 +19,16 @@
         turn();
       }) {}
 
-void Route::arrived(std::unique_ptr<Query> query) {
+RequestId Route::arrived(std::unique_ptr<Query> query) {
   Query& q = book_.open(std::move(query));
   // What ties a multiget and its parts together at the decider's door: small enough for a float to hold.
   const float number = static_cast<float>(++arrivals_ % (1 << 24));
   const Time at = now();
   decider_.multiget_arrived(at, q.id, q.op_type, number, q.client_retry, q.left);
   for (const auto& p : q.parts) decider_.part_arrived(at, p->id, number, p->shard, p->weight);
+  const RequestId id = q.id;
   turn();
+  return id;
 }
 
 void Route::abandoned(RequestId id) {
@@ -53,7 +59,7 @@
     do {
       while (const auto d = decider_.next(now())) carry_out(*d);
       sender_.flush();
-    } while (book_.hand_over());
+    } while (follow_up_() || book_.hand_over());
   }
   if (!wakes_.empty()) wake_.start(wakes_.begin()->first - now());
 }
@@ -74,11 +80,11 @@
     case Kind::fail:
       if (Query* q = book_.query(d.request); q && q->client) {
         if (d.kind == Kind::answer)
-          relay::answer(*q, d.whole);
+          q->client->answered(*q, d.whole);
         else if (d.kind == Kind::push_back)
-          relay::push_back(*q, d.span);
+          q->client->pushed_back(d.span);
         else
-          relay::fail(*q);
+          q->client->failed();
         end(*q);
       }
       return;
--- a/src/broker/route.h
+++ b/src/broker/route.h
@@ -9,10 +9,12 @@
 
 class Route {
  public:
-  // `forget` is told the nodes that the decider has forgotten.
-  Route(event_base* base, Decider& decider, Book& book, Sender& sender, std::function<void(NodeId)> forget);
+  // `forget` is told the nodes that the decider has forgotten; `follow_up` is asked at the end of each turn
+  // for what follows from multigets that have ended: false where there was nothing.
+  Route(event_base* base, Decider& decider, Book& book, Sender& sender, std::function<void(NodeId)> forget,
+        std::function<bool()> follow_up);
 
-  void arrived(std::unique_ptr<Query> query);
+  RequestId arrived(std::unique_ptr<Query> query);
   void abandoned(RequestId query);
   void turn();  // pulls decisions until none is left
 
@@ -25,6 +27,7 @@
   Book& book_;
   Sender& sender_;
   std::function<void(NodeId)> forget_;
+  std::function<bool()> follow_up_;
   std::multimap<Time, std::uint64_t> wakes_;
   Timer wake_;
   bool turning_ = false;
--- a/src/broker/take_in.cpp
+++ b/src/broker/take_in.cpp
@@ -74,10 +74,10 @@
   event* end = nullptr;  // hears of the client's leaving while its multiget is in hand
   evhttp_request* asked = nullptr;
   Waiting* waiting = nullptr;
-  RequestId query = 0;
-  bool has_asked = false;  // a whole request, at some time
-  Time since = now();      // accepted, or last answered
-  Time begun = 0;          // first byte of a request that isn't whole yet; 0 = none
+  std::function<void()> leave = {};  // tells that the client has gone; none where nothing is in hand
+  bool has_asked = false;            // a whole request, at some time
+  Time since = now();                // accepted, or last answered
+  Time begun = 0;                    // first byte of a request that isn't whole yet; 0 = none
 
   ~Door();
   // Nothing asked, nothing begun, nothing left to write.
@@ -88,8 +88,8 @@
   }
 };
 
-// The client that waits behind a request.
-class TakeIn::Waiting : public Client {
+// The reply that a request waits for.
+class TakeIn::Waiting : public Reply {
  public:
   explicit Waiting(Door& door) : door_(&door) { door.waiting = this; }
   ~Waiting() override {
@@ -100,7 +100,7 @@
     if (!door_) return;  // the client has left
     Door& d = *door_;
     evhttp_request* r = std::exchange(d.asked, nullptr);
-    d.query = 0;
+    d.leave = nullptr;
     event_del(d.end);
     d.since = now();
     d.begun = input_length(d.connection) > 0 ? d.since : 0;
@@ -269,12 +269,12 @@
   door.asked = r;
   door.has_asked = true, door.begun = 0;
   hear_of_end(door);
-  auto client = std::make_unique<Waiting>(door);
-  if (const char* wrong = framing(r)) return client->answer(400, "", std::string(wrong) + "\n");
+  auto reply = std::make_unique<Waiting>(door);
+  if (const char* wrong = framing(r)) return reply->answer(400, "", std::string(wrong) + "\n");
   const char* stated = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(r));
   const std::string_view path = stated ? stated : "";
-  if (path == "/_health") return client->answer(200, "", "ready\n");
-  if (evhttp_request_get_command(r) != EVHTTP_REQ_POST) return client->answer(405, "", "only POST here\n");
+  if (path == "/_health") return reply->answer(200, "", "ready\n");
+  if (evhttp_request_get_command(r) != EVHTTP_REQ_POST) return reply->answer(405, "", "only POST here\n");
   const evkeyvalq* headers = evhttp_request_get_input_headers(r);
   const auto header = [&](const char* name) -> const char* {
     const char* found = nullptr;
@@ -284,14 +284,23 @@
   };
   evbuffer* body = evhttp_request_get_input_buffer(r);
   const std::size_t n = evbuffer_get_length(body);
-  const Asked asked{path.substr(path.empty() ? 0 : 1, path.find('/', 1) - 1),
-                    header("X-Txn"),
-                    header("X-Lane"),
-                    header("X-Remaining"),
-                    header("X-Resent"),
-                    {n ? reinterpret_cast<const char*>(evbuffer_pullup(body, -1)) : "", n}};
-  const RequestId id = admit_.take(asked, std::move(client));
-  if (door.asked) door.query = id;  // else answered already
+  Asked asked{path.substr(path.empty() ? 0 : 1, path.find('/', 1) - 1),
+              header("X-Txn"),
+              header("X-Lane"),
+              header("X-Remaining"),
+              header("X-Resent"),
+              {n ? reinterpret_cast<const char*>(evbuffer_pullup(body, -1)) : "", n}};
+  std::function<void()> leave;
+  const auto front = std::find_if(fronts_.begin(), fronts_.end(),
+                                  [&](const Front* f) { return path.rfind(f->path(), 0) == 0; });
+  if (front != fronts_.end()) {
+    asked.op_type = path.substr((*front)->path().size());
+    leave = (*front)->take(asked, std::move(reply));
+  } else {
+    const RequestId id = admit_.take(asked, std::move(reply));
+    leave = [this, id] { route_.abandoned(id); };
+  }
+  if (door.asked) door.leave = std::move(leave);  // else answered already
 }
 
 // evhttp doesn't read while a request is being handled, and so doesn't hear of a client that leaves.
@@ -319,9 +328,9 @@
 void TakeIn::gone(evhttp_connection* connection) {
   const auto it = doors_.find(connection);
   if (it == doors_.end()) return;
-  const RequestId query = it->second->query;
+  const auto leave = std::move(it->second->leave);
   doors_.erase(it);
-  if (query) route_.abandoned(query);
+  if (leave) leave();
 }
 
 void TakeIn::last_answers() { last_answers_ = true; }
--- a/src/broker/take_in.h
+++ b/src/broker/take_in.h
@@ -3,6 +3,7 @@
 #pragma once
 #include <event2/event.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -19,8 +20,19 @@
 
 namespace cairnhub::broker {
 
+// A form of requests beside the platform's, on the same listener.
+class Front {
+ public:
+  virtual ~Front() = default;
+  virtual std::string_view path() const = 0;  // what the paths of its requests begin with
+  // Takes what was asked; `asked.op_type` is the rest of the path. Returns what to call should the client
+  // leave before it's answered.
+  virtual std::function<void()> take(const Asked& asked, std::unique_ptr<Reply> reply) = 0;
+};
+
 class TakeIn {
  public:
+  void add(Front& front) { fronts_.push_back(&front); }
   // `pause_at`: the descriptor from which on no further connection is accepted. Past `most_idle` connections
   // that have been answered, those idle longest are let go.
   TakeIn(event_base* base, const std::string& listen, int pause_at, std::size_t most_idle, Admit& admit,
@@ -52,6 +64,7 @@
   Timer look_;
   Admit& admit_;
   Route& route_;
+  std::vector<Front*> fronts_;
   std::vector<bufferevent*> fresh_;  // accepted in this turn of the loop; held until they get their doors
   std::map<evhttp_connection*, std::unique_ptr<Door>> doors_;
   bool paused_ = false, last_answers_ = false, closed_ = false;
--- a/tests/mangled.cpp
+++ b/tests/mangled.cpp
@@ -49,7 +49,7 @@
               passed);
 }
 
-struct Silent : Client {
+struct Silent : Reply {
   void answer(int, std::string_view, std::string) override {}
 };
 
@@ -92,7 +92,8 @@
     Book book(d, 1 << 26);
     Sender sender(
         base, {32, 1, kSecond, kSecond, 8}, [](Errand&, const Result&) {}, [] {});
-    Route route(base, d, book, sender, [](NodeId) {});
+    Route route(
+        base, d, book, sender, [](NodeId) {}, [] { return false; });
     Admit admit(s, 1 << 26, book, route);
     int n = 0;
     tried("request",
--- a/tests/stand_ins/net.h
+++ b/tests/stand_ins/net.h
@@ -1,5 +1,5 @@
-// Sockets for the stand-ins: listeners and connections on addresses that no other test process uses. What takes
-// longer than kPatienceMs ends the story.
+// Sockets for the stand-ins: listeners and connections on addresses that no other test process uses. What
+// takes longer than kPatienceMs ends the story.
 #pragma once
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -15,7 +15,7 @@
 namespace cairnhub::stand_ins {
 
 constexpr int kPatienceMs = 10000;  // a story that waits longer has failed
-inline std::string program;  // under test
+inline std::string program;         // under test
 
 [[noreturn]] inline void give_up(const char* what) {
   std::printf("GAVE UP: %s\n", what);
