--- a/src/broker/book.cpp
+++ b/src/broker/book.cpp
@@ -65,8 +65,12 @@
   if (how == Outcome::ok && q.client && !p.value) {
     // Danger: values without bound. One that can't stand in any answer is as good as none.
     const std::size_t n = result.value.size();
-    if (q.value_bytes + n > q.values_most || bytes_ + n > most_ || !q.client->usable(p, result.value))
+    const bool room = q.value_bytes + n <= q.values_most && bytes_ + n <= most_;
+    const auto use = room ? q.client->use(p, result.value) : Client::Use::spoilt;
+    if (use == Client::Use::spoilt)
       how = Outcome::error;
+    else if (use == Client::Use::taken)
+      p.value.emplace();
     else
       p.value = result.value, q.value_bytes += n, q.bytes += n, bytes_ += n;
   }
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -2,13 +2,9 @@
 
 #include <event2/event.h>
 
-#include <csignal>
-#include <cstdio>
-#include <cstdlib>
-#include <stdexcept>
-
 #include "broker/admit.h"
 #include "broker/clock.h"
+#include "broker/phased.h"
 #include "broker/take_in.h"
 #include "broker/watch.h"
 
@@ -43,6 +39,7 @@
   Book book;
   Sender sender;
   Route route;
+  Phased phased;
   Members members;
   Admit admit;
   Watch watch;
@@ -52,7 +49,7 @@
   Timer closing;
   bool door_closed = false;
 
-  Stages(event_base* base, const Config& c)
+  Stages(event_base* base, const Config& c, const std::vector<TwoPhase>& two_phase)
       : decider(c.seed),
         book(decider, c.memory),
         sender(
@@ -64,7 +61,8 @@
               members.forget(id);
               sender.forget(id);
             },
-            [] { return false; }),
+            [this] { return phased.follow_up(); }),
+        phased(base, decider, book, route, static_cast<int>(settings::op_types(c.settings).size())),
         members(decider, [this](NodeId id, const std::string& name, const Address& at,
                                 NodeState s) { sender.node(id, name, at, s); }),
         admit(c.settings, c.memory, book, route),
@@ -77,6 +75,7 @@
         in_force(c),
         closing(base, [this] { close(); }) {
     settings::apply(c.settings, decider);
+    for (const auto& t : two_phase) phased.allow(t.op_type, t.op, t.terms);
     decider.start();
     if (!c.known.empty())
       if (const char* wrong = members.take(c.known))
@@ -92,9 +91,14 @@
   }
 };
 
-Broker::Broker(event_base* base, const Config& config) : stages_(std::make_unique<Stages>(base, config)) {}
+Broker::Broker(event_base* base, const Config& config, const std::vector<TwoPhase>& two_phase)
+    : stages_(std::make_unique<Stages>(base, config, two_phase)) {}
 Broker::~Broker() = default;
 
+Admit& Broker::admit() { return stages_->admit; }
+Phased& Broker::phased() { return stages_->phased; }
+void Broker::add(Front& front) { stages_->take_in.add(front); }
+
 void Broker::change(const Config& c) {
   Config& had = stages_->in_force;
   if (c.listen != had.listen) log("config", "listen has changed; that takes a restart");
@@ -113,60 +117,4 @@
   stages_->closing.start(kStillComing);
 }
 
-namespace {
-
-// What a signal does, on the loop and not where it strikes.
-class OnSignal {
- public:
-  OnSignal(event_base* base, int signal, std::function<void()> what) : what_(std::move(what)) {
-    event_ = evsignal_new(
-        base, signal,
-        [](evutil_socket_t, short, void* self) { guarded("signal", static_cast<OnSignal*>(self)->what_); },
-        this);
-    event_add(event_, nullptr);
-  }
-  ~OnSignal() { event_free(event_); }
-  OnSignal(const OnSignal&) = delete;
-  OnSignal& operator=(const OnSignal&) = delete;
-
- private:
-  std::function<void()> what_;
-  event* event_;
-};
-
-}  // namespace
-
-int run() {
-  std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGHUP, SIG_IGN);  // Danger: one that comes before the loop is ready would end the program.
-  event_config* how = event_config_new();
-  event_config_set_flag(how, EVENT_BASE_FLAG_PRECISE_TIMER);
-  event_base* base = event_base_new_with_config(how);
-  event_config_free(how);
-  int status = 0;
-  try {
-    const char* path = std::getenv("RELAY_CONFIG");
-    if (!path) throw std::runtime_error("RELAY_CONFIG is not set");
-    Broker broker(base, read_config(path));
-    const OnSignal stop(base, SIGTERM, [&] {
-      log("stop", "finishing what is in hand");
-      broker.shut_down([base] { event_base_loopexit(base, nullptr); });
-    });
-    // Danger: a file that is missing, half written or wrong. Nothing of it is taken.
-    const OnSignal reload(base, SIGHUP, [&] {
-      try {
-        broker.change(read_config(path));
-      } catch (const std::exception& e) {
-        log("config", "the old one stays in force: %s", e.what());
-      }
-    });
-    event_base_dispatch(base);
-  } catch (const std::exception& e) {
-    std::fprintf(stderr, "cairnhub: %s\n", e.what());
-    status = 1;
-  }
-  event_base_free(base);
-  return status;
-}
-
 }  // namespace cairnhub::broker
--- a/src/broker/broker.h
+++ b/src/broker/broker.h
@@ -2,18 +2,35 @@
 #pragma once
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "broker/config.h"
+#include "phases/plan.h"
 
 struct event_base;
 
 namespace cairnhub::broker {
 
+class Admit;
+class Front;
+class Phased;
+
+// An op type whose multigets may have two phases, with the operators' terms.
+struct TwoPhase {
+  int op_type;
+  OpType op;
+  phases::Terms terms;
+};
+
 class Broker {
  public:
   // Throws std::exception with one plain line where the configuration won't do.
-  Broker(event_base* base, const Config& config);
+  Broker(event_base* base, const Config& config, const std::vector<TwoPhase>& two_phase = {});
   ~Broker();
+  // For fronts of further forms; one that is added must outlive the loop.
+  Admit& admit();
+  Phased& phased();
+  void add(Front& front);
   // Takes over what may change under way; logs what takes a restart.
   void change(const Config& config);
   // Goes on for as long as clients may still come, finishes what it has taken, then calls `done`. Once.
@@ -24,7 +41,4 @@
   std::unique_ptr<Stages> stages_;
 };
 
-// The whole program: configuration from the environment, signals, exit status.
-int run();
-
 }  // namespace cairnhub::broker
--- /dev/null
+++ b/src/broker/phased.cpp
@@ -0,0 +1,208 @@
+#include "broker/phased.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "broker/clock.h"
+
+namespace cairnhub::broker {
+
+// An op type, and the numbers under which the decision module knows its rounds.
+struct Phased::Op {
+  phases::Planner planner;
+  int match, again, fetch;
+};
+
+struct Phased::Run {
+  RunId id = 0;
+  Op& op;
+  std::string name;
+  bool client_retry = false;
+  std::unique_ptr<PhasedClient> client;
+  phases::Plan plan;
+  std::vector<broker::Query*> open;  // by round; null once ended
+  std::size_t held = 0;              // as counted in the book
+  Time due = kNever;
+  bool queued = false;
+};
+
+// The client of one round: tells the plan what comes.
+class Phased::Sub : public Client {
+ public:
+  Sub(Phased& home, Run& run, int round) : home_(home), run_(run), round_(round) {}
+  Use use(const Part& part, std::string_view value) override {
+    const auto& parts = part.query->parts;
+    const auto at = std::find_if(parts.begin(), parts.end(), [&](const auto& p) { return p.get() == &part; });
+    const int block = run_.plan.round(round_).blocks[static_cast<std::size_t>(at - parts.begin())];
+    const char* wrong = run_.plan.came(round_, block, value);
+    home_.recount(run_);
+    home_.look_at(run_);
+    if (wrong) log("phases", "%s: %s", part.name.c_str(), wrong);
+    return wrong ? Use::spoilt : Use::taken;
+  }
+  void answered(const broker::Query& q, bool whole) override {
+    ended(q, whole ? phases::RoundEnd::whole : phases::RoundEnd::in_part, 0);
+  }
+  void pushed_back(Time come_back) override {
+    const broker::Query& q = *run_.open[round_];
+    const bool sent =
+        std::any_of(q.parts.begin(), q.parts.end(), [](const auto& p) { return !p->errands.empty(); });
+    ended(q, sent ? phases::RoundEnd::failed : phases::RoundEnd::pushed_back, come_back);
+  }
+  void failed() override { ended(*run_.open[round_], phases::RoundEnd::failed, 0); }
+
+  // Which blocks were really asked: undrawn parts stay unsent.
+  static void note_sent(Run& run, int round, const broker::Query& q) {
+    const phases::Round& r = run.plan.round(round);
+    if (r.kind != phases::RoundKind::match) return;
+    for (std::size_t i = 0; i < q.parts.size(); ++i)
+      if (!q.parts[i]->errands.empty()) run.plan.sent(r.blocks[i]);
+  }
+
+ private:
+  void ended(const broker::Query& q, phases::RoundEnd how, Time come_back) {
+    note_sent(run_, round_, q);
+    run_.open[round_] = nullptr;
+    run_.plan.round_ended(now(), round_, how, come_back);
+    home_.look_at(run_);
+  }
+  Phased& home_;
+  Run& run_;
+  int round_;
+};
+
+Phased::Phased(event_base* base, Decider& decider, Book& book, Route& route, int op_types)
+    : decider_(decider), book_(book), route_(route), op_types_(op_types), wake_(base, [this] {
+        while (!wakes_.empty() && wakes_.begin()->first <= now()) {
+          Run& run = *runs_.at(wakes_.begin()->second);
+          sleep(run, kNever);
+          look_at(run);
+        }
+        if (!wakes_.empty()) wake_.start(wakes_.begin()->first - now());
+        route_.turn();
+      }) {}
+
+Phased::~Phased() = default;
+
+void Phased::allow(int op_type, const OpType& op, const phases::Terms& terms) {
+  // Each round has a time of its own, which ends it; until then it's worth going on.
+  OpType derived = op;
+  derived.late_share = 1;
+  derived.route_timeout = 0;  // a round that comes with little time is no client's later try
+  derived.second_step_parts = 0;
+  ops_[op_type] = std::make_unique<Op>(Op{phases::Planner(terms), 0, 0, 0});
+  Op& mine = *ops_[op_type];
+  const auto add = [&](const OpType& o) {
+    decider_.add_op_type(o);
+    return op_types_++;
+  };
+  mine.match = add(derived);
+  // Of one block each; whatever comes of them is taken, and the plan judges the whole.
+  derived.need = derived.least = 1;
+  mine.again = add(derived);
+  mine.fetch = add(derived);
+}
+
+std::function<void()> Phased::take(const std::string& name, int op_type, bool client_retry,
+                                   phases::Query query, std::unique_ptr<PhasedClient> client) {
+  const RunId id = ++last_id_;
+  Op& op = *ops_.at(op_type);
+  auto run = std::make_unique<Run>(Run{
+      id, op, name, client_retry, std::move(client), phases::Plan(op.planner, std::move(query), now()), {}});
+  names_.insert(name);
+  recount(*run);
+  look_at(*(runs_[id] = std::move(run)));
+  route_.turn();
+  return [this, id] { left(id); };
+}
+
+void Phased::look_at(Run& run) {
+  if (!std::exchange(run.queued, true)) agenda_.push_back(run.id);
+}
+
+// What plans hold counts towards the bound on what is in hand.
+void Phased::recount(Run& run) {
+  const std::size_t before = std::exchange(run.held, run.plan.bytes());
+  book_.recount(before, run.held);
+}
+
+bool Phased::follow_up() {
+  if (agenda_.empty()) return false;
+  while (!agenda_.empty()) {
+    const auto it = runs_.find(agenda_.front());
+    agenda_.pop_front();
+    if (it != runs_.end()) pull(*it->second);
+  }
+  return true;
+}
+
+void Phased::pull(Run& run) {
+  run.queued = false;
+  while (const auto d = run.plan.next(now())) {
+    if (d->kind != phases::Decision::Kind::ask) return finish(run, *d);
+    ask(run, d->round);
+  }
+  sleep(run, run.plan.due(now()));
+}
+
+// The one wake-up that a run has. kNever: none.
+void Phased::sleep(Run& run, Time until) {
+  if (run.due == until) return;
+  if (run.due != kNever) wakes_.erase({run.due, run.id});
+  if ((run.due = until) == kNever) return;
+  wakes_.emplace(until, run.id);
+  wake_.start(wakes_.begin()->first - now());
+}
+
+void Phased::ask(Run& run, int round) {
+  const phases::Round& r = run.plan.round(round);
+  auto q = std::make_unique<broker::Query>();
+  q->name = run.name + "/" + std::to_string(round);
+  while (book_.holds(q->name)) q->name += '\'';  // Danger: another client may have chosen the very name
+  q->text = run.plan.take_text(round);
+  q->op_type = r.kind == phases::RoundKind::match   ? run.op.match
+               : r.kind == phases::RoundKind::again ? run.op.again
+                                                    : run.op.fetch;
+  q->client_retry = run.client_retry && r.kind == phases::RoundKind::match;
+  q->left = r.span;
+  q->values_most = SIZE_MAX;  // the plan takes them, and the memory bound holds
+  for (const int b : r.blocks) {
+    auto p = std::make_unique<Part>();
+    p->shard = run.plan.block(b).shard;
+    p->weight = r.kind == phases::RoundKind::match ? run.plan.block(b).weight : 1;
+    p->name = q->name + "." + std::to_string(p->shard);
+    q->parts.push_back(std::move(p));
+  }
+  q->client = std::make_unique<Sub>(*this, run, round);
+  run.open.resize(static_cast<std::size_t>(round) + 1);
+  run.open[round] = q.get();
+  route_.arrived(std::move(q));
+}
+
+// Rule 1: what is still out of any round ends with the answer, within the turn that gives it.
+void Phased::finish(Run& run, const phases::Decision& d) {
+  for (std::size_t i = 0; i < run.open.size(); ++i)
+    if (run.open[i]) Sub::note_sent(run, static_cast<int>(i), *run.open[i]);
+  const auto client = std::move(run.client);
+  if (d.kind == phases::Decision::Kind::answer)
+    client->answered(run.plan, d.whole);
+  else
+    client->pushed_back(d.span);
+  const auto kept = std::move(runs_.extract(run.id).mapped());
+  stop(*kept);
+}
+
+void Phased::stop(Run& run) {
+  names_.erase(run.name);
+  sleep(run, kNever);
+  for (broker::Query*& q : run.open)
+    if (q) route_.abandoned(std::exchange(q, nullptr)->id);
+  book_.recount(run.held, 0);
+}
+
+void Phased::left(RunId id) {
+  auto node = runs_.extract(id);
+  if (!node.empty()) stop(*node.mapped());
+}
+
+}  // namespace cairnhub::broker
--- /dev/null
+++ b/src/broker/phased.h
@@ -0,0 +1,73 @@
+// Runs two-phase multigets: carries out what their plans (phases/plan.h) ask for, each round as a multiget of
+// its own through route and the decision module, and tells the plans what came of it. Chooses nothing.
+#pragma once
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "broker/book.h"
+#include "broker/route.h"
+#include "broker/timer.h"
+#include "phases/plan.h"
+
+namespace cairnhub::broker {
+
+// Who waits for a two-phase multiget. A front stands behind this. One of the two is called, once.
+class PhasedClient {
+ public:
+  virtual ~PhasedClient() = default;
+  virtual void answered(const phases::Plan& plan, bool whole) = 0;
+  virtual void pushed_back(Time come_back) = 0;  // 0 = no advice; trying again is harmless
+};
+
+class Phased {
+ public:
+  // `op_types`: how many the settings have told the decider; those of rounds come after them.
+  Phased(event_base* base, Decider& decider, Book& book, Route& route, int op_types);
+  ~Phased();
+
+  // Lets multigets of an op type have two phases; once each, after the settings' own op types. Only retriable
+  // ones: a plan may ask a block again.
+  void allow(int op_type, const OpType& op, const phases::Terms& terms);
+  bool allowed(int op_type) const { return ops_.count(op_type) != 0; }
+  bool holds(const std::string& name) const { return names_.count(name) != 0; }
+
+  // Returns what to call should the client leave.
+  std::function<void()> take(const std::string& name, int op_type, bool client_retry, phases::Query query,
+                             std::unique_ptr<PhasedClient> client);
+  // At the end of each turn: what follows for the plans that were told something. False where nothing did.
+  bool follow_up();
+
+ private:
+  struct Op;
+  struct Run;
+  class Sub;
+  using RunId = std::uint64_t;
+
+  void pull(Run& run);
+  void ask(Run& run, int round);
+  void finish(Run& run, const phases::Decision& d);
+  void stop(Run& run);
+  void left(RunId id);
+  void look_at(Run& run);
+  void recount(Run& run);
+  void sleep(Run& run, Time until);
+
+  Decider& decider_;
+  Book& book_;
+  Route& route_;
+  int op_types_;  // of the decider, those added here included
+  std::map<int, std::unique_ptr<Op>> ops_;
+  std::map<RunId, std::unique_ptr<Run>> runs_;
+  std::set<std::string> names_;
+  std::deque<RunId> agenda_;
+  std::set<std::pair<Time, RunId>> wakes_;
+  Timer wake_;
+  RunId last_id_ = 0;
+};
+
+}  // namespace cairnhub::broker
--- a/src/broker/query.h
+++ b/src/broker/query.h
@@ -26,9 +26,10 @@
 class Client {
  public:
   virtual ~Client() = default;
-  // Whether a value that a node gave can be used; one that can't counts as a send that failed and may have
-  // run. May only note down.
-  virtual bool usable(const Part&, std::string_view) { return true; }
+  // What becomes of a value that a node gave: it's kept with its part, or the client has taken what it needs
+  // of it, or it's spoilt and counts as a send that failed and may have run. May only note down.
+  enum class Use { keep, taken, spoilt };
+  virtual Use use(const Part&, std::string_view) { return Use::keep; }
   virtual void answered(const Query& query, bool whole) = 0;
   virtual void pushed_back(Time come_back) = 0;  // 0 = no advice; trying again is harmless
   virtual void failed() = 0;                     // may have taken effect
--- /dev/null
+++ b/src/fronts/two_phase/front.cpp
@@ -0,0 +1,112 @@
+#include "fronts/two_phase/front.h"
+
+#include <cmath>
+#include <cstring>
+#include <nlohmann/json.hpp>
+
+#include "broker/relay.h"
+
+namespace cairnhub::fronts::two_phase {
+
+namespace {
+
+using nlohmann::ordered_json;
+
+ordered_json phase(const phases::Report::Phase& p) {
+  return {{"asked", p.asked}, {"answered", p.answered}, {"missing", p.missing}, {"whole", p.whole}};
+}
+
+// The client of one two-phase multiget: what came of it, in JSON. Details go in as the bytes that hosts gave.
+class Waiting : public broker::PhasedClient {
+ public:
+  explicit Waiting(std::unique_ptr<broker::Reply> reply) : reply_(std::move(reply)) {}
+  void answered(const phases::Plan& plan, bool whole) override {
+    const phases::Report r = plan.report();
+    ordered_json head{{"whole", whole}, {"why", r.why}, {"match", phase(r.match)}, {"fetch", phase(r.fetch)}};
+    head["match"]["blocks"] = r.blocks;
+    head["match"]["pruned"] = r.pruned;
+    head["match"]["matches"] = r.matches;
+    head["match"]["again"] = r.rematched;
+    ordered_json versions = ordered_json::object();
+    for (int b = 0; b < r.blocks; ++b)
+      if (const auto v = plan.version_of(b); !v.empty()) versions[std::to_string(plan.block(b).shard)] = v;
+    head["match"]["versions"] = std::move(versions);
+    std::string body = head.dump();
+    body.back() = ',';
+    body += "\"stalls\":[";
+    bool first = true;
+    plan.each_stall([&](int block, const std::string& id, double score, std::string_view detail) {
+      if (!std::exchange(first, false)) body += ',';
+      body += ordered_json{{"block", block}, {"stall", id}, {"score", score}}.dump();
+      if (detail.empty()) return;
+      body.back() = ',';
+      body.append("\"detail\":").append(detail) += '}';
+    });
+    reply_->answer(200, "", body + "]}");
+  }
+  void pushed_back(Time come_back) override {
+    reply_->answer(503, broker::relay::come_back_text(come_back), "not now; trying again is harmless\n");
+  }
+
+ private:
+  std::unique_ptr<broker::Reply> reply_;
+};
+
+// Milliseconds, decimals allowed.
+bool budget(const nlohmann::json& v, std::optional<Time>& into) {
+  if (!v.is_number() || !(v.get<double>() > 0) || v.get<double>() > 1e9) return false;
+  into = static_cast<Time>(std::llround(v.get<double>() * 1e6));
+  return true;
+}
+
+}  // namespace
+
+std::string read_body(std::string_view text, const broker::Admit& admit, broker::Query& parts,
+                      phases::Query& into) {
+  const auto body = nlohmann::json::parse(text, nullptr, false);
+  if (!body.is_object()) return "the body is not a JSON object";
+  bool asks = false;
+  for (const auto& [key, v] : body.items()) {
+    if (key == "buckets") continue;
+    if (key == "query") {
+      if (!v.is_string()) return "query is not text";
+      into.text = v.get<std::string>(), asks = true;
+    } else if (key == "limit") {
+      if (!v.is_number_unsigned()) return "limit is not a whole number from 0 up";
+      into.limit = v.get<std::size_t>();
+    } else if (key == "match_ms") {
+      if (!budget(v, into.match_budget)) return "match_ms is not a number of milliseconds above 0";
+    } else if (key == "fetch_ms") {
+      if (!budget(v, into.fetch_budget)) return "fetch_ms is not a number of milliseconds above 0";
+    } else {
+      return "'" + key.substr(0, 40) + "' is not known here";
+    }
+  }
+  if (!asks) return "query is missing";
+  if (const char* wrong = admit.read_parts(body, parts)) return wrong;
+  for (const auto& p : parts.parts) into.blocks.push_back({p->shard, p->weight});
+  return "";
+}
+
+std::function<void()> Front::take(const broker::Asked& asked, std::unique_ptr<broker::Reply> reply) {
+  broker::Query head;
+  phases::Query query;
+  if (const char* wrong = admit_.read_head(asked, head)) {
+    reply->answer(std::strcmp(wrong, "no such op type") == 0 ? 404 : 400, "", std::string(wrong) + "\n");
+  } else if (!phased_.allowed(head.op_type)) {
+    reply->answer(403, "", "two-phase multigets of this op type are not allowed\n");
+  } else if (phased_.holds(head.name)) {
+    reply->answer(400, "", "X-Txn is that of a request in hand\n");
+  } else if (const std::string wrong = read_body(asked.body, admit_, head, query); !wrong.empty()) {
+    reply->answer(400, "", wrong + "\n");
+  } else if (admit_.full()) {
+    reply->answer(503, "", "too many in hand\n");
+  } else {
+    query.left = head.left;
+    return phased_.take(head.name, head.op_type, head.client_retry, std::move(query),
+                        std::make_unique<Waiting>(std::move(reply)));
+  }
+  return nullptr;
+}
+
+}  // namespace cairnhub::fronts::two_phase
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,3 @@
-// cairnhub: one broker, told what it needs by its environment.
-#include "broker/broker.h"
+#include "cli/cli.h"
 
-int main() { return cairnhub::broker::run(); }
+int main(int argc, char** argv) { return cairnhub::cli::main(argc, argv); }
--- /dev/null
+++ b/src/options/options.cpp
@@ -0,0 +1,136 @@
+#include "options/options.h"
+
+#include <google/protobuf/io/tokenizer.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+#include <google/protobuf/text_format.h>
+
+#include <cmath>
+#include <fstream>
+#include <iterator>
+#include <set>
+
+#include "options.pb.h"
+
+namespace cairnhub::options {
+
+namespace {
+
+using google::protobuf::TextFormat;
+
+struct FirstError : google::protobuf::io::ErrorCollector {
+  const std::string& file;
+  std::string text;
+  explicit FirstError(const std::string& f) : file(f) {}
+  void AddError(int line, int column, const std::string& message) override {
+    if (text.empty())
+      text = file + ":" + std::to_string(line + 1) + ":" + std::to_string(column + 1) + ": " + message;
+  }
+};
+
+// One message with where its fields stand.
+struct Checked {
+  const std::string& file;
+  const google::protobuf::Message& message;
+  TextFormat::ParseInfoTree* tree;
+  int line;  // of the message itself
+
+  int line_of(const char* field) const {
+    const auto* d = message.GetDescriptor()->FindFieldByName(field);
+    const int at = tree->GetLocation(d, -1).line;
+    return at < 0 ? line : at + 1;
+  }
+  [[noreturn]] void complain(const char* field, const std::string& allowed) const {
+    throw OptionError(file + ":" + std::to_string(line_of(field)) + ": " + field + " " + allowed);
+  }
+  template <class T>
+  T within(const char* field, T value, T least, T most) const {
+    char allowed[80];
+    if (!(value >= least && value <= most)) {
+      std::snprintf(allowed, sizeof allowed, "is %g; allowed is %g to %g", static_cast<double>(value),
+                    static_cast<double>(least), static_cast<double>(most));
+      complain(field, allowed);
+    }
+    return value;
+  }
+};
+
+Time ms(std::uint32_t n) { return Time{n} * 1'000'000; }
+
+PhasedOpType phased(const Checked& at, const schema::PhasedOpType& m) {
+  PhasedOpType out;
+  out.line = at.line;
+  out.name = m.name();
+  if (out.name.empty()) at.complain("name", "is missing; allowed is the name of an op type");
+  phases::Terms& t = out.terms;
+  t.match_share = at.within("match_share", m.match_share(), 0.05, 0.95);
+  t.shortest_fetch = ms(at.within("shortest_fetch_ms", m.shortest_fetch_ms(), 1U, 60000U));
+  t.spare = ms(at.within("spare_ms", m.spare_ms(), 0U, 10000U));
+  t.rematches = static_cast<int>(at.within("rematches", m.rematches(), 0U, 10U));
+  t.rematch_share = at.within("rematch_share", m.rematch_share(), 0.0, 1.0);
+  t.page_most = at.within("page_most", m.page_most(), 1U, 100000U);
+  t.fetch_most = at.within("fetch_most", m.fetch_most(), 1U, 10000U);
+  t.stalls_most = at.within("stalls_most", m.stalls_most(), 1U, 1000000U);
+  t.learns = m.learn_split(), t.prunes_by_score = m.prune_by_score();
+  return out;
+}
+
+}  // namespace
+
+Options read(const std::string& file) {
+  std::ifstream in(file, std::ios::binary);
+  if (!in) throw OptionError(file + ": can't be read");
+  return parse({std::istreambuf_iterator<char>(in), {}}, file);
+}
+
+Options parse(const std::string& text, const std::string& file) {
+  schema::Options message;
+  TextFormat::Parser parser;
+  TextFormat::ParseInfoTree tree;
+  FirstError error(file);
+  parser.RecordErrorsTo(&error);
+  parser.WriteLocationsTo(&tree);
+  if (!parser.ParseFromString(text, &message))
+    throw OptionError(error.text.empty() ? file + ": can't be used" : error.text);
+  Options out;
+  out.file = file;
+  if (message.has_two_phase()) {
+    const auto* outer = message.GetDescriptor()->FindFieldByName("two_phase");
+    const auto* inner = message.two_phase().GetDescriptor()->FindFieldByName("op_type");
+    auto* in = tree.GetTreeForNested(outer, -1);
+    std::set<std::string> names;
+    for (int i = 0; i < message.two_phase().op_type_size(); ++i) {
+      const auto& m = message.two_phase().op_type(i);
+      const Checked at{out.file, m, in->GetTreeForNested(inner, i), in->GetLocation(inner, i).line + 1};
+      out.two_phase.push_back(phased(at, m));
+      if (!names.insert(m.name()).second) at.complain("name", "stands twice; allowed is each op type once");
+    }
+  }
+  return out;
+}
+
+std::vector<Phased> resolve(const Options& options, const settings::Settings& settings) {
+  const auto all = settings::op_types(settings);
+  const Time longest_wait =
+      settings.flag("ceilings.retry-after", false) ? settings.span("ceilings.max-retry-after", 0) : 0;
+  std::vector<Phased> out;
+  for (const PhasedOpType& p : options.two_phase) {
+    const auto complain = [&](const std::string& what) {
+      throw OptionError(options.file + ":" + std::to_string(p.line) + ": name " + what);
+    };
+    std::size_t i = 0;
+    while (i < all.size() && all[i].name != p.name) ++i;
+    if (i == all.size()) complain("is '" + p.name + "'; allowed is an op type of the settings");
+    const OpType& op = all[i].op;
+    if (op.effect != Effect::retriable)
+      complain("is '" + p.name + "', which is not retriable; allowed is an op type that may be asked again");
+    Phased& mine = out.emplace_back(Phased{static_cast<int>(i), op, p.terms});
+    phases::Terms& t = mine.terms;
+    t.need = op.need, t.least = op.least;
+    t.partial = op.least < op.need && op.partial_share > 0;
+    t.latency_budget = op.latency_budget, t.late_earns = op.late_share > 0;
+    t.come_back = longest_wait;
+  }
+  return out;
+}
+
+}  // namespace cairnhub::options
--- /dev/null
+++ b/src/options/options.h
@@ -0,0 +1,42 @@
+// Operators' options, as read and checked: plain values, no type of the library that reads them. Schema and
+// defaults: options.proto; the form is protobuf text format.
+#pragma once
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "phases/plan.h"
+#include "settings/settings.h"
+
+namespace cairnhub::options {
+
+struct PhasedOpType {
+  std::string name;
+  phases::Terms terms;  // need, least and budgets come from the platform's settings
+  int line = 0;
+};
+
+struct Options {
+  std::string file;
+  std::vector<PhasedOpType> two_phase;
+};
+
+// One line: the file, where known the line, the field, and what is allowed.
+struct OptionError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+Options read(const std::string& file);  // throws OptionError
+Options parse(const std::string& text, const std::string& file);
+
+// Against the settings they are to stand beside: the op types, with their terms completed, by number. Throws
+// OptionError.
+struct Phased {
+  int op_type;
+  OpType op;
+  phases::Terms terms;
+};
+std::vector<Phased> resolve(const Options& options, const settings::Settings& settings);
+
+}  // namespace cairnhub::options
--- a/src/phases/plan.cpp
+++ b/src/phases/plan.cpp
@@ -53,6 +53,7 @@
     Block& mine = blocks_.emplace_back();
     mine.shard = b.shard, mine.weight = b.weight;
   }
+  bytes_ = query_.text.size() + blocks_.size() * (sizeof(Block) + sizeof(Round));
   most_ = std::min(query_.limit.value_or(t.stalls_most), t.stalls_most);
   const Time all = std::max<Time>(query_.left - t.spare, 0);
   end_ = now + (t.late_earns ? all : std::min(all, t.latency_budget));
@@ -123,13 +124,16 @@
     return;
   }
   Block& b = blocks_[r.blocks[0]];
+  // Its value may have come long before, and the next round of its block be out.
+  int& out = r.kind == RoundKind::fetch ? b.fetch_round : b.match_round;
+  if (out != round) return;
+  out = -1;
   if (r.kind == RoundKind::fetch) {
-    if (std::exchange(b.fetch_round, -1) < 0) return;
     // No holder gave them. Those it has now may know other stalls; but where nothing was sent, as nodes have
     // too much to do, matching again would only add to that.
     fetch_pushed_back_ = fetch_pushed_back_ || how == RoundEnd::pushed_back;
     (how == RoundEnd::pushed_back ? b.lost : b.anew) = true;
-  } else if (std::exchange(b.match_round, -1) >= 0) {
+  } else {
     (r.after ? b.page_lost : b.lost) = true;  // one known to have changed isn't counted any more
   }
 }
@@ -161,6 +165,18 @@
   return sum;
 }
 
+double Plan::least_share() const {
+  const Terms& t = planner_.terms;
+  return (t.partial ? t.least : t.need) - kWeightSlack;
+}
+
+// Too few blocks have matched, and no more will: whatever is fetched, no answer may be given.
+bool Plan::hopeless() const {
+  return !first_open_ && share_in() < least_share() &&
+         std::none_of(blocks_.begin(), blocks_.end(),
+                      [](const Block& b) { return b.match_round >= 0 || b.anew; });
+}
+
 // Every block that the op type needs has matched, and no unseen match of theirs could enter the answer.
 bool Plan::first_complete() const {
   return first_whole_ && share_in() >= planner_.terms.need - kWeightSlack && ranked_.wanting.empty();
@@ -175,9 +191,7 @@
 bool Plan::first_closed(Time now) const {
   if (fetching_) return true;
   if (!first_open_ && !busy()) return true;
-  const Terms& t = planner_.terms;
-  return now >= cut_ && share_in() >= (t.partial ? t.least : t.need) - kWeightSlack &&
-         !ranked_.survivors.empty();
+  return now >= cut_ && share_in() >= least_share() && !ranked_.survivors.empty();
 }
 
 bool Plan::can_finish(Time now) const {
@@ -273,10 +287,8 @@
   const Terms& t = planner_.terms;
   const Report r = report();
   if (fetching_) planner_.split.fetch_took(r.fetch.asked, now - fetch_began_, r.fetch.whole);
-  const double in = share_in();
   const bool whole = r.why.empty();
-  const bool may = in >= t.least - kWeightSlack && (t.partial || in >= t.need - kWeightSlack);
-  if (whole || may) return Decision{Decision::Kind::answer, 0, whole};
+  if (whole || share_in() >= least_share()) return Decision{Decision::Kind::answer, 0, whole};
   return Decision{Decision::Kind::push_back, 0, false, come_back_ > 0 ? come_back_ : t.come_back};
 }
 
@@ -284,11 +296,11 @@
   if (ended_) return std::nullopt;
   if (rounds_.empty() && now < end_) return open_first();
   if (dirty_) prune();
-  if (now >= end_ || now >= fetch_end_) return finish(now);
+  if (now >= end_ || now >= fetch_end_ || hopeless()) return finish(now);
   if (auto d = match_again(now)) return d;
   if (auto d = fetch(now)) return d;
-  // Nothing is out but what can no longer join, or nothing at all.
-  if (!busy() && (!first_open_ || fetching_ || (no_time_ && first_closed(now)))) return finish(now);
+  // Less than whole goes out only when nothing more can come, or nothing more could be done with it.
+  if (!busy() && (!first_open_ || (no_time_ && first_closed(now)))) return finish(now);
   return std::nullopt;
 }
 
--- a/src/phases/plan.h
+++ b/src/phases/plan.h
@@ -115,7 +115,9 @@
 
   std::optional<Decision> next(Time now);
   Time due(Time now) const;  // kNever once ended
+  const BlockAsked& block(int i) const { return query_.blocks[i]; }
   const Round& round(int i) const { return rounds_[i]; }
+  std::string take_text(int i) { return std::move(rounds_[i].text); }  // once, as it's sent
   bool ended() const { return ended_; }
 
   // Once it has decided to answer.
@@ -174,7 +176,9 @@
   bool first_closed(Time now) const;
   bool busy() const;  // rounds beside the first are out
   double share_in() const;
+  double least_share() const;  // of weight, under which no answer may be given
   bool first_complete() const;
+  bool hopeless() const;
   bool can_finish(Time now) const;
   std::size_t limit() const { return planner_.terms.prunes_by_score ? most_ : planner_.terms.stalls_most; }
   const char* take_match(Block& b, const Round& r, std::string_view value);
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -147,13 +147,20 @@
 
 }  // namespace
 
+std::vector<NamedOpType> op_types(const Settings& s) {
+  const int count = s.whole("classes.count");
+  if (count < 1 || count > 256) complain("classes.count", "is out of range");
+  std::vector<NamedOpType> all;
+  for (int i = 0; i < count; ++i)
+    all.push_back({s.text("classes." + std::to_string(i) + ".name", ""), read_op_type(s, i)});
+  return all;
+}
+
 void apply(const Settings& s, Decider& decider) {
   const int brokers = s.whole("balancers", 1);
   if (brokers < 1) complain("balancers", "is out of range");
   decider.set_brokers(brokers);
-  const int op_types = s.whole("classes.count");
-  if (op_types < 1 || op_types > 256) complain("classes.count", "is out of range");
-  for (int i = 0; i < op_types; ++i) decider.add_op_type(read_op_type(s, i));
+  for (const auto& named : op_types(s)) decider.add_op_type(named.op);
   const int cells = s.whole("family-info.positions"), width = s.whole("family-info.width");
   if (cells < 1 || cells > 65536) complain("family-info.positions", "is out of range");
   if (width < 1 || width > cells) complain("family-info.width", "is out of range");
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -40,6 +40,12 @@
   std::map<std::string, std::string> values_;
 };
 
+struct NamedOpType {
+  std::string name;
+  OpType op;
+};
+std::vector<NamedOpType> op_types(const Settings& s);  // in the order of their numbers
+
 // Tells the decider, setting by setting. Unknown paths are skipped.
 void apply(const Settings& s, Decider& decider);
 
--- a/tests/phases.cpp
+++ b/tests/phases.cpp
@@ -157,16 +157,18 @@
     if (wrong) return;
     if (r.kind != RoundKind::fetch && !r.after) changed.erase(o.block);
     if (ask.contains("version") && ask["version"] != std::to_string(v)) changed.insert(o.block);
-    if (r.kind == RoundKind::fetch)
-      for (const auto& s : nlohmann::json::parse(value)["stalls"])
-        got.insert({o.block, std::to_string(v), s["stall"]});
+    if (r.kind == RoundKind::fetch) {
+      const auto said = nlohmann::json::parse(value);
+      for (const auto& s : said["stalls"]) got.insert({o.block, std::to_string(v), s["stall"]});
+    }
     // What is in hand is of one version a block.
     std::erase_if(got, [&](const auto& g) {
       return r.kind == RoundKind::fetch && std::get<0>(g) == o.block && std::get<1>(g) != std::to_string(v);
     });
     if (o.round == 0 && now > query.left / 2) ++seen.late;
     out.erase(out.begin() + static_cast<std::ptrdiff_t>(i));
-    if (--waiting[o.round] == 0) return end_round(o.round, RoundEnd::whole);
+    // Its end may be told a while after its last value.
+    if (--waiting[o.round] == 0 && chance(2)) return end_round(o.round, RoundEnd::whole);
     if (o.round == 0 && planner.terms.need < 1 && 2 * (k - waiting[0]) >= k && chance(2))
       end_round(0, RoundEnd::whole);  // enough are in: the decision module ends it
   }
@@ -184,12 +186,15 @@
           auto it = waiting.begin();
           std::advance(it, rng() % waiting.size());
           const RoundEnd ends[] = {RoundEnd::in_part, RoundEnd::pushed_back, RoundEnd::failed};
-          end_round(it->first, ends[rng() % 3]);
+          end_round(it->first, it->second == 0 ? RoundEnd::whole : ends[rng() % 3]);
         }
         break;
       default:
         now += static_cast<Time>(rng() % 20) * kMs;
-        if (!out.empty()) answer_one();
+        if (!out.empty())
+          answer_one();
+        else if (!waiting.empty())
+          end_round(waiting.begin()->first, RoundEnd::whole);
     }
     pull();
   }
--- a/tests/stand_ins/client.h
+++ b/tests/stand_ins/client.h
@@ -50,6 +50,17 @@
       if (!peer.more()) return "connection ended";
     }
   }
+  // A two-phase multiget; `more`: further members of its body.
+  void asks_in_two(const std::string& name, const std::string& op, const std::vector<int>& shards,
+                   const std::string& query, const std::string& more = "", const char* left = "5") {
+    std::string list;
+    for (const int s : shards)
+      list += (list.empty() ? "" : ",") + std::string("{\"bucket\":") + std::to_string(s) +
+              ",\"part\":" + std::to_string(1.0 / static_cast<double>(shards.size())) + "}";
+    std::string bytes =
+        request(name, op, "{\"buckets\":[" + list + "],\"query\":\"" + query + "\"" + more + "}", left);
+    peer.write("POST /_two-phase/" + bytes.substr(6));
+  }
   void gets() { std::printf("client gets: %s\n", reads().c_str()); }
 };
 
--- /dev/null
+++ b/tests/stand_ins/register_host.cpp
@@ -0,0 +1,306 @@
+#include "stand_ins/register_host.h"
+
+#include <fcntl.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+
+namespace cairnhub::stand_ins {
+
+namespace {
+
+std::int64_t now_us() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+std::string ended(const std::string& part, const char* how, const std::string& value = "") {
+  return framed('E', part + " " + how + " 7 -\n" + value);
+}
+
+}  // namespace
+
+std::string Stall::detail() const {
+  return nlohmann::ordered_json{{"stall", id}, {"market", market}, {"levy", levy}}.dump();
+}
+
+std::vector<Stall> Register::block(int block, int version) const {
+  std::mt19937 rng(seed_ + 7919u * static_cast<std::uint32_t>(block));
+  std::vector<Stall> all;
+  for (int i = 0; i < stalls_; ++i) {
+    Stall s{"s" + std::to_string(block) + "-" + std::to_string(i), "M" + std::to_string(rng() % 8),
+            static_cast<double>(rng() % 1000) / 8};
+    if (version > 0 && i % 5 == 0) s.score = std::fmod(s.score + 31.5 * version, 125);
+    s.levy = s.score / 4;
+    all.push_back(std::move(s));
+  }
+  return all;
+}
+
+std::vector<Stall> Register::matching(int number, int version, const std::string& query) const {
+  std::vector<Stall> found = block(number, version);
+  std::istringstream words(query);
+  for (std::string w; words >> w;) {
+    if (w == "none") found.clear();
+    if (w == "same")
+      for (Stall& s : found) s.score = 1;
+    if (w.rfind("market=", 0) == 0)
+      std::erase_if(found, [&](const Stall& s) { return s.market != w.substr(7); });
+    if (w.rfind("score>=", 0) == 0)
+      std::erase_if(found, [&](const Stall& s) { return s.score < std::stod(w.substr(7)); });
+    if (w.rfind("block%", 0) == 0 && number % std::stoi(w.substr(6)) != std::stoi(w.substr(w.find('=') + 1)))
+      found.clear();
+  }
+  std::sort(found.begin(), found.end(), [](const Stall& a, const Stall& b) {
+    return a.score != b.score ? a.score > b.score : a.id < b.id;
+  });
+  return found;
+}
+
+// ---- A host ----
+
+void RegisterHost::on(Phase phase, int nth, Do what, bool only) {
+  const std::lock_guard g(home->lock_);
+  rules[static_cast<int>(phase)].push_back({nth, only, what});
+}
+void RegisterHost::release() {
+  {
+    const std::lock_guard g(home->lock_);
+    for (auto& a : held) home->later_.push({0, a.connection, a.bytes});
+    held.clear();
+  }
+  home->wake();
+}
+void RegisterHost::await(Phase phase, int n) {
+  std::unique_lock l(home->lock_);
+  if (!home->told_.wait_for(l, std::chrono::milliseconds(kPatienceMs),
+                            [&] { return counts[static_cast<int>(phase)] >= n; }))
+    stand_ins::give_up("a host isn't asked");
+}
+int RegisterHost::asked(Phase phase) const {
+  const std::lock_guard g(home->lock_);
+  return counts[static_cast<int>(phase)];
+}
+int RegisterHost::given_up() const {
+  const std::lock_guard g(home->lock_);
+  return given_up_;
+}
+std::uint64_t RegisterHost::bytes_in() const {
+  const std::lock_guard g(home->lock_);
+  return in;
+}
+std::uint64_t RegisterHost::bytes_out() const {
+  const std::lock_guard g(home->lock_);
+  return out;
+}
+void RegisterHost::slow(double by, double spread) {
+  const std::lock_guard g(home->lock_);
+  ms = by, cv = spread;
+}
+void RegisterHost::revive() {
+  {
+    const std::lock_guard g(home->lock_);
+    if (!door) door = std::make_unique<Listener>(port);
+    for (auto& r : rules) r.clear();
+  }
+  home->wake();
+}
+
+// ---- All of them ----
+
+Hosts::Hosts(const Register& data, int count) : data_(data) {
+  for (int n = 1; n <= count; ++n) {
+    auto h = std::make_unique<RegisterHost>();
+    h->home = this, h->number = n, h->port = kNode + n;
+    h->door = std::make_unique<Listener>(h->port, 512);
+    hosts_.push_back(std::move(h));
+  }
+  if (pipe2(pipe_, O_CLOEXEC | O_NONBLOCK) != 0) stand_ins::give_up("no pipe");
+  thread_ = std::thread([this] { serve(); });
+}
+Hosts::~Hosts() {
+  {
+    const std::lock_guard g(lock_);
+    over_ = true;
+  }
+  wake();
+  thread_.join();
+  close(pipe_[0]), close(pipe_[1]);
+}
+void Hosts::wake() { static_cast<void>(!write(pipe_[1], "x", 1)); }
+
+int Hosts::asked(Phase phase) const {
+  const std::lock_guard g(lock_);
+  int n = 0;
+  for (const auto& h : hosts_) n += h->counts[static_cast<int>(phase)];
+  return n;
+}
+std::uint64_t Hosts::bytes() const {
+  const std::lock_guard g(lock_);
+  std::uint64_t n = 0;
+  for (const auto& h : hosts_) n += h->in + h->out;
+  return n;
+}
+void Hosts::await_total(Phase phase, int n) {
+  std::unique_lock l(lock_);
+  if (!told_.wait_for(l, std::chrono::milliseconds(kPatienceMs), [&] {
+        int sum = 0;
+        for (const auto& h : hosts_) sum += h->counts[static_cast<int>(phase)];
+        return sum >= n;
+      }))
+    stand_ins::give_up("the hosts aren't asked");
+}
+void Hosts::await_given_up(int n) {
+  std::unique_lock l(lock_);
+  if (!told_.wait_for(l, std::chrono::milliseconds(kPatienceMs), [&] {
+        int sum = 0;
+        for (const auto& h : hosts_) sum += h->given_up_;
+        return sum >= n;
+      }))
+    stand_ins::give_up("nothing is given up");
+}
+
+void Hosts::serve() {
+  std::unique_lock l(lock_);
+  while (!over_) {
+    std::vector<pollfd> fds{{pipe_[0], POLLIN, 0}};
+    std::vector<std::uint64_t> ids{0};
+    std::vector<RegisterHost*> doors{nullptr};
+    for (const auto& h : hosts_)
+      if (h->door) fds.push_back({h->door->fd, POLLIN, 0}), ids.push_back(0), doors.push_back(h.get());
+    for (auto& [id, c] : connections_) {
+      fds.push_back({c.peer.fd, static_cast<short>(POLLIN | (c.out.empty() ? 0 : POLLOUT)), 0});
+      ids.push_back(id), doors.push_back(nullptr);
+    }
+    timespec wait{1, 0};
+    if (!later_.empty()) {
+      const std::int64_t us = std::clamp<std::int64_t>(later_.top().at - now_us(), 0, 1000000);
+      wait = {us / 1000000, us % 1000000 * 1000};
+    }
+    l.unlock();
+    ppoll(fds.data(), fds.size(), &wait, nullptr);
+    l.lock();
+    char sink[64];
+    while (::read(pipe_[0], sink, sizeof sink) > 0) {
+    }
+    for (std::size_t i = 1; i < fds.size(); ++i) {
+      if (!fds[i].revents) continue;
+      if (doors[i]) {
+        if (!doors[i]->door || doors[i]->door->fd != fds[i].fd) continue;
+        const int fd = accept4(fds[i].fd, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+        if (fd >= 0) connections_.emplace(++last_, Connection{doors[i], Peer(fd), ""});
+      } else if (const auto it = connections_.find(ids[i]); it != connections_.end()) {
+        if ((fds[i].revents & ~POLLOUT) && !read(it->first, it->second)) connections_.erase(ids[i]);
+      }
+    }
+    for (; !later_.empty() && later_.top().at <= now_us(); later_.pop())
+      if (const auto it = connections_.find(later_.top().connection); it != connections_.end())
+        it->second.out += later_.top().bytes, it->second.host->out += later_.top().bytes.size();
+    for (auto& [id, c] : connections_) {
+      if (c.out.empty()) continue;
+      const ssize_t n = send(c.peer.fd, c.out.data(), c.out.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (n > 0) c.out.erase(0, static_cast<std::size_t>(n));
+    }
+    told_.notify_all();
+  }
+}
+
+// False where the connection is over.
+bool Hosts::read(std::uint64_t id, Connection& c) {
+  char some[65536];
+  const ssize_t got = recv(c.peer.fd, some, sizeof some, MSG_DONTWAIT);
+  if (got <= 0) return got < 0 && errno == EAGAIN;
+  c.peer.in.append(some, static_cast<std::size_t>(got));
+  RegisterHost& h = *c.host;
+  h.in += static_cast<std::uint64_t>(got);
+  for (std::string& in = c.peer.in; in.size() >= 5;) {
+    std::size_t n = 0;
+    for (int i = 3; i >= 0; --i) n = n << 8 | static_cast<unsigned char>(in[i]);
+    if (in.size() < 4 + n) break;
+    const std::string frame = in.substr(4, n);
+    in.erase(0, 4 + n);
+    if (frame[0] == 'B') ++h.given_up_;
+    if (frame[0] != 'A') continue;
+    for (std::size_t at = 1; at < frame.size();) {
+      const auto end = frame.find('\n', at);
+      std::istringstream line(frame.substr(at, end - at));
+      std::string name, list;
+      int block = 0;
+      std::size_t length = 0;
+      line >> name >> block >> list >> length;
+      part(id, h, name, block, frame.substr(end + 1, length));
+      if (!h.door) return c.peer.reset(), false;
+      at = end + 1 + length;
+    }
+  }
+  return true;
+}
+
+void Hosts::part(std::uint64_t id, RegisterHost& h, const std::string& name, int block,
+                 const std::string& text) {
+  const auto ask = nlohmann::json::parse(text);
+  const bool match = ask["phase"] == "match";
+  const int phase = match ? 0 : 1, nth = ++h.counts[phase];
+  Do what = Do::answer;
+  for (const auto& r : h.rules[phase])
+    if (nth == r.nth || (nth > r.nth && !r.only)) what = r.what;
+  if (what == Do::die) {
+    h.door.reset();
+    for (auto it = connections_.begin(); it != connections_.end();)
+      if (it->second.host == &h && it->first != id)
+        it->second.peer.reset(), it = connections_.erase(it);
+      else
+        ++it;
+    return;
+  }
+  if (what == Do::hang) return;
+  if (what == Do::fault || what == Do::full)
+    return say(id, h, ended(name, what == Do::full ? "overload" : "fault"));
+  if (what == Do::spoil) return say(id, h, ended(name, "hit", "{\"version\":\"0\",\"total\":0}"));
+  if (what == Do::change) ++h.version;
+  const std::string version = std::to_string(h.version);
+  std::string value;
+  if (match) {
+    const auto all = data_.matching(block, h.version, ask["query"]);
+    const std::size_t page = ask["page"];
+    std::size_t from = 0;
+    if (ask.contains("after")) {
+      const std::string last = ask["after"][0];
+      const double score = ask["after"][1];
+      while (from < all.size() &&
+             (all[from].score > score || (all[from].score == score && all[from].id <= last)))
+        ++from;
+    }
+    nlohmann::ordered_json out{
+        {"version", version}, {"total", all.size()}, {"more", from + page < all.size()}};
+    out["matches"] = nlohmann::json::array();
+    for (std::size_t i = from; i < std::min(all.size(), from + page); ++i)
+      out["matches"].push_back({all[i].id, all[i].score});
+    value = out.dump();
+  } else {
+    std::set<std::string> ids;
+    for (const std::string i : ask["stalls"]) ids.insert(i);
+    for (const Stall& s : data_.block(block, h.version))
+      if (ids.count(s.id))
+        value += (value.empty() ? "" : ",") + ("{\"stall\":\"" + s.id + "\",\"detail\":" + s.detail() + "}");
+    value = "{\"version\":\"" + version + "\",\"stalls\":[" + value + "]}";
+  }
+  if (what == Do::hold) return h.held.push_back({id, ended(name, "hit", value)});
+  say(id, h, ended(name, "hit", value));
+}
+
+void Hosts::say(std::uint64_t connection, RegisterHost& h, const std::string& bytes) {
+  std::int64_t at = 0;
+  if (h.ms > 0) {
+    const double sigma = std::sqrt(std::log(1 + h.cv * h.cv));
+    std::lognormal_distribution<double> spread(-sigma * sigma / 2, sigma);
+    at = now_us() + static_cast<std::int64_t>(1000 * h.ms * spread(rng_));
+  }
+  later_.push({at, connection, bytes});
+}
+
+}  // namespace cairnhub::stand_ins
--- a/tests/stand_ins/world.h
+++ b/tests/stand_ins/world.h
@@ -20,48 +20,52 @@
   int parts_a_call = 1, sockets = 256, memory_mb = 192;
   const char *budget = "2", *connect_within = "0.25", *keepalive = "15", *deadline = "60", *cold = "10",
              *fall_span = "2";
-  std::string config = {};  // the whole of it, where stated
+  std::string config = {};   // the whole of it, where stated
+  std::string options = {};  // the operators', where stated
+  int log = -1;              // where its log goes; -1: nowhere
 };
 
 // The program with its surroundings. Op types: `all` needs every part, `any` half of them, `once` every part
-// and may not be repeated.
+// and may not be repeated; `part` every part, but half of them earn something.
 struct World {
   int cells;
   Listener discovery{kDiscovery};
   std::unique_ptr<Peer> watch;
   pid_t pid = 0;
-  std::string folder, config;
+  std::string options, folder, config;
+  int log = -1;
 
-  explicit World(const Setup& s) : cells(s.cells) {
+  explicit World(const Setup& s) : cells(s.cells), options(s.options), log(s.log) {
     if (!s.config.empty()) {
       start(s.config, true);
       return;
     }
     const auto n = [](int number) { return std::to_string(number); };
     std::string classes;
-    for (const char* op : {"all", "any", "once"})
+    for (const char* op : {"all", "any", "once", "part"})
       classes += std::string(classes.empty() ? "" : ",") + R"({"name":")" + op + R"(","promise":)" +
                  s.budget + R"(,"deadline":)" + s.deadline + R"(,"late-share":0.5,"effect":")" +
                  (std::strcmp(op, "once") == 0 ? "single_shot" : "free") + R"("})";
-    start(R"({"listen":")" + text(kBroker) + R"(","discovery":")" + text(kDiscovery) +
-          R"(","seed":"00000000000000a7","limits":{"cores":1.0,"memory_mb":)" + n(s.memory_mb) +
-          R"(,"sockets":)" + n(s.sockets) + R"(},"known":)" + list(1, true, "in_service") +
-          R"(,"settings":{"balancers":2,"callers":{"marks-retry":true},"ceilings":{"cancel":true,)"
-          R"("connect-timeout":)" +
-          s.connect_within + R"(,"keepalive":)" + s.keepalive +
-          R"(,"max-retry-after":0.5,"multiplex":64,"retry-after":true,"second-copies":true,"try-limit":3},)"
-          R"("classes":[)" +
-          classes +
-          R"(],"family-info":{"min-share":[1,0.5,1],"need-by-class":[1,0.5,1],)"
-          R"("parts-a-call":)" +
-          n(s.parts_a_call) + R"(,"positions":)" + n(s.cells) + R"(,"ranges":)" +
-          n(s.shards ? s.shards : s.cells) + R"(,"width":)" + n(s.replicas) + R"(},"rules":{"cold":)" +
-          s.cold + R"(,"cold-from":0.2,"fall-multiple":2,"overload-for":)" + s.fall_span +
-          R"(},"tick":0.005}})");
+    start(
+        R"({"listen":")" + text(kBroker) + R"(","discovery":")" + text(kDiscovery) +
+        R"(","seed":"00000000000000a7","limits":{"cores":1.0,"memory_mb":)" + n(s.memory_mb) +
+        R"(,"sockets":)" + n(s.sockets) + R"(},"known":)" + list(1, true, "in_service") +
+        R"(,"settings":{"balancers":2,"callers":{"marks-retry":true},"ceilings":{"cancel":true,)"
+        R"("connect-timeout":)" +
+        s.connect_within + R"(,"keepalive":)" + s.keepalive +
+        R"(,"max-retry-after":0.5,"multiplex":64,"retry-after":true,"second-copies":true,"try-limit":3},)"
+        R"("classes":[)" +
+        classes +
+        R"(],"family-info":{"min-share":[1,0.5,1,0.5],"need-by-class":[1,0.5,1,1],"class-partial":[0,0,0,0.5],)"
+        R"("parts-a-call":)" +
+        n(s.parts_a_call) + R"(,"positions":)" + n(s.cells) + R"(,"ranges":)" +
+        n(s.shards ? s.shards : s.cells) + R"(,"width":)" + n(s.replicas) + R"(},"rules":{"cold":)" + s.cold +
+        R"(,"cold-from":0.2,"fall-multiple":2,"overload-for":)" + s.fall_span + R"(},"tick":0.005}})");
   }
   ~World() {
     if (pid > 0) kill(pid, SIGKILL), waitpid(pid, nullptr, 0);
     unlink((folder + "/config.json").c_str());
+    unlink((folder + "/options.txtpb").c_str());
     rmdir(folder.c_str());
   }
 
@@ -82,11 +86,13 @@
     char made[] = "/tmp/cairnhub-test-XXXXXX";
     folder = mkdtemp(made);
     writes(config = with);
+    if (!options.empty()) std::ofstream(folder + "/options.txtpb") << options;
     pid = fork();
     if (pid == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);  // a story that gives up leaves nothing behind
+      if (!options.empty()) setenv("CAIRNHUB_OPTIONS", (folder + "/options.txtpb").c_str(), 1);
       setenv("RELAY_CONFIG", (folder + "/config.json").c_str(), 1);
-      dup2(show_log ? STDOUT_FILENO : open("/dev/null", O_WRONLY), STDERR_FILENO);
+      dup2(log >= 0 ? log : show_log ? STDOUT_FILENO : open(getenv("STAND_IN_LOG") ? getenv("STAND_IN_LOG") : "/dev/null", O_WRONLY | O_CREAT | O_APPEND, 0600), STDERR_FILENO);
       execl(program.c_str(), "cairnhub", nullptr);
       _exit(127);
     }
