--- a/src/phases/plan.cpp
+++ b/src/phases/plan.cpp
@@ -13,15 +13,17 @@
 constexpr double kWeightSlack = 0.0001;
 // Most matches anew that are saved up over all multigets.
 constexpr double kRematchMost = 64;
+constexpr std::size_t kLeastPage = 32;
 
 // How many of the best N to ask of each block at first. Where the best are spread by chance over k blocks,
 // one holds N/k of them, give or take the root of that; three times the root leaves about one block in a
 // thousand to be asked for more, and a skewed one costs one page more.
+// Least: a page of some tens costs less than a further round trip.
 std::size_t first_page(std::size_t limit, std::size_t blocks, std::size_t most) {
   if (limit == kAll) return most;
   const double mean = static_cast<double>(limit) / static_cast<double>(blocks);
   const auto page = static_cast<std::size_t>(std::ceil(mean + 3 * std::sqrt(mean)));
-  return std::min({limit, page, most});
+  return std::min({limit, std::max(page, kLeastPage), most});
 }
 
 std::string match_text(const std::string& query, std::size_t page, const std::optional<Place>& after,
@@ -295,7 +297,7 @@
 std::optional<Decision> Plan::next(Time now) {
   if (ended_) return std::nullopt;
   if (rounds_.empty() && now < end_) return open_first();
-  if (dirty_) prune();
+  if (dirty_ && (!first_open_ || now >= cut_)) prune();  // before, nothing hangs on it
   if (now >= end_ || now >= fetch_end_ || hopeless()) return finish(now);
   if (auto d = match_again(now)) return d;
   if (auto d = fetch(now)) return d;
--- a/tests/stand_ins/register_host.cpp
+++ b/tests/stand_ins/register_host.cpp
@@ -1,6 +1,7 @@
 #include "stand_ins/register_host.h"
 
 #include <fcntl.h>
+#include <netinet/tcp.h>
 
 #include <algorithm>
 #include <chrono>
@@ -25,7 +26,9 @@
 }  // namespace
 
 std::string Stall::detail() const {
-  return nlohmann::ordered_json{{"stall", id}, {"market", market}, {"levy", levy}}.dump();
+  nlohmann::ordered_json all{{"stall", id}, {"market", market}, {"levy", levy}};
+  if (padding > 0) all["history"] = std::string(padding, '-');
+  return all.dump();
 }
 
 std::vector<Stall> Register::block(int block, int version) const {
@@ -35,7 +38,7 @@
     Stall s{"s" + std::to_string(block) + "-" + std::to_string(i), "M" + std::to_string(rng() % 8),
             static_cast<double>(rng() % 1000) / 8};
     if (version > 0 && i % 5 == 0) s.score = std::fmod(s.score + 31.5 * version, 125);
-    s.levy = s.score / 4;
+    s.levy = s.score / 4, s.padding = padding_;
     all.push_back(std::move(s));
   }
   return all;
@@ -139,6 +142,10 @@
   for (const auto& h : hosts_) n += h->counts[static_cast<int>(phase)];
   return n;
 }
+void Hosts::forget_counts() {
+  const std::lock_guard g(lock_);
+  for (const auto& h : hosts_) h->counts[0] = h->counts[1] = 0, h->in = h->out = 0;
+}
 std::uint64_t Hosts::bytes() const {
   const std::lock_guard g(lock_);
   std::uint64_t n = 0;
@@ -192,6 +199,8 @@
       if (doors[i]) {
         if (!doors[i]->door || doors[i]->door->fd != fds[i].fd) continue;
         const int fd = accept4(fds[i].fd, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+        const int on = 1;  // answers must not wait for the last one to be acknowledged
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         if (fd >= 0) connections_.emplace(++last_, Connection{doors[i], Peer(fd), ""});
       } else if (const auto it = connections_.find(ids[i]); it != connections_.end()) {
         if ((fds[i].revents & ~POLLOUT) && !read(it->first, it->second)) connections_.erase(ids[i]);
@@ -282,8 +291,11 @@
       out["matches"].push_back({all[i].id, all[i].score});
     value = out.dump();
   } else {
-    std::set<std::string> ids;
-    for (const std::string i : ask["stalls"]) ids.insert(i);
+    std::set<std::string> ids;  // a `fetch` names them; `all` asks for whatever matches
+    if (ask["phase"] == "all")
+      for (const Stall& s : data_.matching(block, h.version, ask["query"])) ids.insert(s.id);
+    else
+      for (const std::string i : ask["stalls"]) ids.insert(i);
     for (const Stall& s : data_.block(block, h.version))
       if (ids.count(s.id))
         value += (value.empty() ? "" : ",") + ("{\"stall\":\"" + s.id + "\",\"detail\":" + s.detail() + "}");
--- a/tests/stand_ins/register_host.h
+++ b/tests/stand_ins/register_host.h
@@ -21,6 +21,7 @@
 struct Stall {
   std::string id, market;
   double score = 0, levy = 0;
+  std::size_t padding = 0;
   std::string detail() const;
 };
 
@@ -28,13 +29,16 @@
 // hold: `all`, `none`, `market=M3`, `score>=50`, `block%10=0`, `same` (all scores alike).
 class Register {
  public:
-  Register(std::uint32_t seed, int stalls_a_block) : seed_(seed), stalls_(stalls_a_block) {}
+  // `padding`: bytes that each detail is longer.
+  Register(std::uint32_t seed, int stalls_a_block, int padding = 0)
+      : seed_(seed), stalls_(stalls_a_block), padding_(static_cast<std::size_t>(padding)) {}
   std::vector<Stall> block(int block, int version) const;
   std::vector<Stall> matching(int block, int version, const std::string& query) const;  // best first
 
  private:
   std::uint32_t seed_;
   int stalls_;
+  std::size_t padding_;
 };
 
 enum class Phase { match, fetch };
@@ -92,6 +96,7 @@
   RegisterHost& operator[](int number) { return *hosts_[number - 1]; }
   int asked(Phase phase) const;  // by all together
   std::uint64_t bytes() const;
+  void forget_counts();
   void await_total(Phase phase, int n);
   void await_given_up(int n);
 
--- a/tests/stand_ins/world.h
+++ b/tests/stand_ins/world.h
@@ -92,7 +92,11 @@
       prctl(PR_SET_PDEATHSIG, SIGKILL);  // a story that gives up leaves nothing behind
       if (!options.empty()) setenv("CAIRNHUB_OPTIONS", (folder + "/options.txtpb").c_str(), 1);
       setenv("RELAY_CONFIG", (folder + "/config.json").c_str(), 1);
-      dup2(log >= 0 ? log : show_log ? STDOUT_FILENO : open(getenv("STAND_IN_LOG") ? getenv("STAND_IN_LOG") : "/dev/null", O_WRONLY | O_CREAT | O_APPEND, 0600), STDERR_FILENO);
+      dup2(log >= 0   ? log
+           : show_log ? STDOUT_FILENO
+                      : open(getenv("STAND_IN_LOG") ? getenv("STAND_IN_LOG") : "/dev/null",
+                             O_WRONLY | O_CREAT | O_APPEND, 0600),
+           STDERR_FILENO);
       execl(program.c_str(), "cairnhub", nullptr);
       _exit(127);
     }
