The core knows no protocol: fronts and hosts are packages of their own

A second protocol on each side needs its room. take_in, admit and relay, the platform's form, stand in src/fronts/, frames in src/hosts/frames/ behind broker/hosts.h, and src/server/ puts the broker together; what is left in src/broker/ names no protocol. A send's end and node stay with it, and a client hears of its multiget when it is pushed back, so that fronts can tell what became of each part.

--- a/src/broker/book.cpp
+++ b/src/broker/book.cpp
@@ -74,6 +74,7 @@
     else
       p.value = result.value, q.value_bytes += n, q.bytes += n, bytes_ += n;
   }
+  e.how = how;
   notes_.push_back({p.id, e.index, how, now() - e.sent_at});
   forget_if_done(q);
 }
--- a/src/broker/book.h
+++ b/src/broker/book.h
@@ -5,8 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "broker/hosts.h"
 #include "broker/query.h"
-#include "broker/send.h"
 
 namespace cairnhub::broker {
 
@@ -22,6 +22,10 @@
   bool holds(const std::string& name) const { return names_.count(name) != 0; }
   std::size_t held() const { return names_.size(); }
   std::size_t bytes() const { return bytes_; }  // taken by what is in hand, about
+  // Multigets are taken while those in hand take less than a quarter of the memory; the rest is for values to
+  // come, connections and the program. Danger: a flood. What is turned away has sent nothing, so trying again
+  // is harmless.
+  bool full() const { return bytes_ >= most_ / 2; }
   // What is held for a client beside its multigets, before and after a change of it.
   void recount(std::size_t before, std::size_t after) { bytes_ += after - before; }
 
--- /dev/null
+++ b/src/broker/hosts.h
@@ -0,0 +1,40 @@
+// The sending stage as the core sees it: whatever protocol nodes speak stands behind this. Says of each send
+// how it ended and how far it had come.
+#pragma once
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "broker/members.h"
+#include "broker/query.h"
+
+namespace cairnhub::broker {
+
+// How far a send had come when it ended. Only one wholly written can have run.
+enum class Reached { never_connected, partly_written, wholly_written };
+
+// `spoilt`: its connection was closed from this side, as the node had sent what can't be used there.
+enum class End { returned, error, full, broken, spoilt, timed_out, given_up };
+
+struct Result {
+  End end;
+  Reached reached;
+  std::string_view value;  // of one that returned
+};
+
+class Hosts {
+ public:
+  virtual ~Hosts() = default;
+  // Told each end, exactly once for each send; it must only note it down.
+  using Ended = std::function<void(Errand&, const Result&)>;
+
+  // What the list says of a node; `name` is for the log.
+  virtual void node(NodeId id, const std::string& name, const Address& address, NodeState state) = 0;
+  virtual void forget(NodeId id) = 0;  // one of which nothing is out
+  virtual void send(Errand& errand, NodeId to) = 0;
+  virtual void give_up(Errand& errand) = 0;
+  virtual void withdraw(Errand& errand) = 0;  // gives it up if nothing of it is begun
+  virtual void flush() = 0;                   // what was sent this turn goes out
+};
+
+}  // namespace cairnhub::broker
--- a/src/broker/phased.cpp
+++ b/src/broker/phased.cpp
@@ -43,13 +43,12 @@
   void answered(const broker::Query& q, bool whole) override {
     ended(q, whole ? phases::RoundEnd::whole : phases::RoundEnd::in_part, 0);
   }
-  void pushed_back(Time come_back) override {
-    const broker::Query& q = *run_.open[round_];
+  void pushed_back(const broker::Query& q, Time come_back) override {
     const bool sent =
         std::any_of(q.parts.begin(), q.parts.end(), [](const auto& p) { return !p->errands.empty(); });
     ended(q, sent ? phases::RoundEnd::failed : phases::RoundEnd::pushed_back, come_back);
   }
-  void failed() override { ended(*run_.open[round_], phases::RoundEnd::failed, 0); }
+  void failed(const broker::Query& q) override { ended(q, phases::RoundEnd::failed, 0); }
 
   // Which blocks were really asked: undrawn parts stay unsent.
   static void note_sent(Run& run, int round, const broker::Query& q) {
--- a/src/broker/query.h
+++ b/src/broker/query.h
@@ -31,16 +31,19 @@
   enum class Use { keep, taken, spoilt };
   virtual Use use(const Part&, std::string_view) { return Use::keep; }
   virtual void answered(const Query& query, bool whole) = 0;
-  virtual void pushed_back(Time come_back) = 0;  // 0 = no advice; trying again is harmless
-  virtual void failed() = 0;                     // may have taken effect
+  virtual void pushed_back(const Query& query,
+                           Time come_back) = 0;  // 0 = no advice; trying again is harmless
+  virtual void failed(const Query& query) = 0;   // may have taken effect
 };
 
 // One send of one part, as the sending stage holds it.
 struct Errand {
   Part* part = nullptr;
+  NodeId node = 0;
   int index = 0;
   Time sent_at = 0, until = 0;
   bool ended = false;
+  Outcome how = Outcome::ok;  // once ended
 };
 
 struct Part {
@@ -50,6 +53,7 @@
   double weight = 0;
   std::string name;                 // at the nodes
   std::optional<std::string> text;  // its own; none: the multiget's
+  std::string target;  // where it's asked at hosts that speak HTTP; goes before the text elsewhere
   std::optional<std::string> value;
   std::vector<std::unique_ptr<Errand>> errands;
 };
--- a/src/broker/route.cpp
+++ b/src/broker/route.cpp
@@ -4,11 +4,11 @@
 
 namespace cairnhub::broker {
 
-Route::Route(event_base* base, Decider& decider, Book& book, Sender& sender,
-             std::function<void(NodeId)> forget, std::function<bool()> follow_up)
+Route::Route(event_base* base, Decider& decider, Book& book, Hosts& hosts, std::function<void(NodeId)> forget,
+             std::function<bool()> follow_up)
     : decider_(decider),
       book_(book),
-      sender_(sender),
+      hosts_(hosts),
       forget_(std::move(forget)),
       follow_up_(std::move(follow_up)),
       wake_(base, [this] {
@@ -43,7 +43,7 @@
 // off.
 void Route::end(Query& q) {
   for (const auto& p : q.parts)
-    for (const auto& e : p->errands) sender_.withdraw(*e);
+    for (const auto& e : p->errands) hosts_.withdraw(*e);
   book_.close(q);
 }
 
@@ -58,7 +58,7 @@
     } mark(turning_);
     do {
       while (const auto d = decider_.next(now())) carry_out(*d);
-      sender_.flush();
+      hosts_.flush();
     } while (follow_up_() || book_.hand_over());
   }
   if (!wakes_.empty()) wake_.start(wakes_.begin()->first - now());
@@ -70,7 +70,7 @@
     case Kind::send:
       return send(d);
     case Kind::cancel:
-      if (Part* p = book_.part(d.request)) sender_.give_up(*p->errands.at(d.send_index));
+      if (Part* p = book_.part(d.request)) hosts_.give_up(*p->errands.at(d.send_index));
       return;
     case Kind::wake:
       wakes_.emplace(now() + d.span, d.token);
@@ -82,9 +82,9 @@
         if (d.kind == Kind::answer)
           q->client->answered(*q, d.whole);
         else if (d.kind == Kind::push_back)
-          q->client->pushed_back(d.span);
+          q->client->pushed_back(*q, d.span);
         else
-          q->client->failed();
+          q->client->failed(*q);
         end(*q);
       }
       return;
@@ -100,10 +100,10 @@
   Part* p = book_.part(d.request);
   if (!p) return;
   auto e = std::make_unique<Errand>();
-  e->part = p, e->index = static_cast<int>(p->errands.size());
+  e->part = p, e->node = d.node, e->index = static_cast<int>(p->errands.size());
   e->sent_at = now(), e->until = e->sent_at + d.span;
   p->errands.push_back(std::move(e));
-  sender_.send(*p->errands.back(), d.node);
+  hosts_.send(*p->errands.back(), d.node);
 }
 
 }  // namespace cairnhub::broker
--- a/src/broker/route.h
+++ b/src/broker/route.h
@@ -11,7 +11,7 @@
  public:
   // `forget` is told the nodes that the decider has forgotten; `follow_up` is asked at the end of each turn
   // for what follows from multigets that have ended: false where there was nothing.
-  Route(event_base* base, Decider& decider, Book& book, Sender& sender, std::function<void(NodeId)> forget,
+  Route(event_base* base, Decider& decider, Book& book, Hosts& hosts, std::function<void(NodeId)> forget,
         std::function<bool()> follow_up);
 
   RequestId arrived(std::unique_ptr<Query> query);
@@ -25,7 +25,7 @@
 
   Decider& decider_;
   Book& book_;
-  Sender& sender_;
+  Hosts& hosts_;
   std::function<void(NodeId)> forget_;
   std::function<bool()> follow_up_;
   std::multimap<Time, std::uint64_t> wakes_;
--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -7,10 +7,10 @@
 #include <string>
 #include <vector>
 
-#include "broker/broker.h"
 #include "broker/members.h"
 #include "cli/serve.h"
 #include "options/options.h"
+#include "server/broker.h"
 
 #ifndef CAIRNHUB_VERSION
 #define CAIRNHUB_VERSION "unknown"
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -7,10 +7,10 @@
 #include <functional>
 #include <stdexcept>
 
-#include "broker/broker.h"
 #include "broker/log.h"
 #include "fronts/two_phase/front.h"
 #include "options/options.h"
+#include "server/broker.h"
 
 namespace cairnhub::cli {
 
--- a/src/broker/take_in.cpp
+++ b/src/fronts/http/take_in.cpp
@@ -1,4 +1,4 @@
-#include "broker/take_in.h"
+#include "fronts/http/take_in.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
--- a/src/broker/take_in.h
+++ b/src/fronts/http/take_in.h
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "broker/admit.h"
 #include "broker/timer.h"
+#include "fronts/platform/admit.h"
 
 struct evconnlistener;
 struct bufferevent;
--- a/src/broker/admit.cpp
+++ b/src/fronts/platform/admit.cpp
@@ -1,4 +1,4 @@
-#include "broker/admit.h"
+#include "fronts/platform/admit.h"
 
 #include <charconv>
 #include <cmath>
@@ -6,15 +6,12 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
-#include "broker/relay.h"
+#include "fronts/platform/relay.h"
 
 namespace cairnhub::broker {
 
 namespace {
 
-// Multigets are taken while those in hand take less than this part of the process's memory; the rest is for
-// the values to come, for connections and for the program.
-constexpr std::size_t kMemoryShare = 4;
 constexpr std::size_t kLongestName = 128;
 // The parts' shares may miss 1 by so much, all together.
 constexpr double kRounding = 0.001;
@@ -34,8 +31,8 @@
 
 }  // namespace
 
-Admit::Admit(const settings::Settings& s, std::size_t memory, Book& book, Route& route)
-    : shards_(s.whole("family-info.ranges")), most_(memory / kMemoryShare), book_(book), route_(route) {
+Admit::Admit(const settings::Settings& s, Book& book, Route& route)
+    : shards_(s.whole("family-info.ranges")), book_(book), route_(route) {
   for (int i = 0; i < s.whole("classes.count"); ++i) {
     const std::string at = "classes." + std::to_string(i) + ".";
     op_types_[s.text(at + "name", "")] = {i, s.span(at + "deadline")};
--- a/src/broker/admit.h
+++ b/src/fronts/platform/admit.h
@@ -1,5 +1,5 @@
-// The admitting stage: validity, the process's hard limits. What passes is whole and well
-// formed; policy is the decider's.
+// The platform's form of requests: validity, hard limits. What passes is whole and well formed; policy is the
+// decider's.
 #pragma once
 #include <nlohmann/json_fwd.hpp>
 #include <string>
@@ -20,7 +20,7 @@
 
 class Admit {
  public:
-  Admit(const settings::Settings& s, std::size_t memory, Book& book, Route& route);
+  Admit(const settings::Settings& s, Book& book, Route& route);
 
   // Takes it, and returns its id; or refuses it with a plain answer, and returns 0.
   RequestId take(const Asked& asked, std::unique_ptr<Reply> reply);
@@ -28,8 +28,7 @@
   // For fronts of other forms: what is wrong, or null.
   const char* read_head(const Asked& asked, Query& into) const;  // all but the body
   const char* read_parts(const nlohmann::json& body, Query& into) const;
-  // Danger: a flood. Whatever is turned away here has sent nothing, so trying again is harmless.
-  bool full() const { return book_.bytes() >= most_; }
+  bool full() const { return book_.full(); }
 
  private:
   struct OpRead {
@@ -40,7 +39,6 @@
 
   std::unordered_map<std::string, OpRead> op_types_;
   int shards_;
-  std::size_t most_;  // bytes
   Book& book_;
   Route& route_;
 };
--- a/src/broker/relay.cpp
+++ b/src/fronts/platform/relay.cpp
@@ -1,4 +1,4 @@
-#include "broker/relay.h"
+#include "fronts/platform/relay.h"
 
 #include <cstdio>
 
@@ -37,10 +37,10 @@
     }
     reply_->answer(200, "", body + "]}");
   }
-  void pushed_back(Time come_back) override {
+  void pushed_back(const Query&, Time come_back) override {
     reply_->answer(503, come_back_text(come_back), "not now; trying again is harmless\n");
   }
-  void failed() override { reply_->answer(500, "", "given up; it may have taken effect\n"); }
+  void failed(const Query&) override { reply_->answer(500, "", "given up; it may have taken effect\n"); }
 
  private:
   std::unique_ptr<Reply> reply_;
--- a/src/fronts/two_phase/front.cpp
+++ b/src/fronts/two_phase/front.cpp
@@ -4,7 +4,7 @@
 #include <cstring>
 #include <nlohmann/json.hpp>
 
-#include "broker/relay.h"
+#include "fronts/platform/relay.h"
 
 namespace cairnhub::fronts::two_phase {
 
--- a/src/fronts/two_phase/front.h
+++ b/src/fronts/two_phase/front.h
@@ -2,7 +2,7 @@
 // what is asked and writes the answer; chooses nothing.
 #pragma once
 #include "broker/phased.h"
-#include "broker/take_in.h"
+#include "fronts/http/take_in.h"
 
 namespace cairnhub::fronts::two_phase {
 
--- a/src/broker/frame.cpp
+++ b/src/hosts/frames/frame.cpp
@@ -1,4 +1,4 @@
-#include "broker/frame.h"
+#include "hosts/frames/frame.h"
 
 namespace cairnhub::broker::frame {
 
--- a/src/broker/send.cpp
+++ b/src/hosts/frames/sender.cpp
@@ -1,4 +1,4 @@
-#include "broker/send.h"
+#include "hosts/frames/sender.h"
 
 #include <event2/buffer.h>
 #include <netinet/in.h>
@@ -11,7 +11,7 @@
 #include <utility>
 
 #include "broker/clock.h"
-#include "broker/frame.h"
+#include "hosts/frames/frame.h"
 
 namespace cairnhub::broker {
 
--- a/src/broker/send.h
+++ b/src/hosts/frames/sender.h
@@ -1,5 +1,4 @@
-// The sending stage: connections to nodes, frames, time-outs. Says of each send how it ended and how far it
-// had come.
+// Hosts that speak the platform's frames: connections to nodes, frames, time-outs.
 #pragma once
 #include <event2/bufferevent.h>
 
@@ -9,45 +8,29 @@
 #include <string_view>
 #include <vector>
 
-#include "broker/members.h"
+#include "broker/hosts.h"
 #include "broker/query.h"
 #include "broker/timer.h"
 
 namespace cairnhub::broker {
 
-// How far a send had come when it ended. Only one wholly written can have run.
-enum class Reached { never_connected, partly_written, wholly_written };
-
-// `spoilt`: its connection was closed from this side, as the node had sent what can't be used there.
-enum class End { returned, error, full, broken, spoilt, timed_out, given_up };
-
-struct Result {
-  End end;
-  Reached reached;
-  std::string_view value;  // of one that returned
-};
-
 struct SendLimits {
   int calls_a_connection, parts_a_call;
   Time connect_within, idle_at_most;
   std::size_t connections;
 };
 
-class Sender {
+class Sender : public Hosts {
  public:
-  // `ended` is told each end, exactly once for each send; it must only note it down. `turn` follows at the
-  // end of each callback.
-  using Ended = std::function<void(Errand&, const Result&)>;
   Sender(event_base* base, SendLimits limits, Ended ended, std::function<void()> turn);
-  ~Sender();
-
-  // What the list says of a node; `name` is for the log.
-  void node(NodeId id, const std::string& name, const Address& address, NodeState state);
-  void forget(NodeId id);  // one of which nothing is out
-  void send(Errand& errand, NodeId to);
-  void give_up(Errand& errand);
-  void withdraw(Errand& errand);  // gives it up if its frame is not begun
-  void flush();                   // what was sent this turn goes out
+  ~Sender() override;
+
+  void node(NodeId id, const std::string& name, const Address& address, NodeState state) override;
+  void forget(NodeId id) override;
+  void send(Errand& errand, NodeId to) override;
+  void give_up(Errand& errand) override;
+  void withdraw(Errand& errand) override;
+  void flush() override;
 
  private:
   struct Call;
--- a/src/broker/broker.cpp
+++ b/src/server/broker.cpp
@@ -1,12 +1,13 @@
-#include "broker/broker.h"
+#include "server/broker.h"
 
 #include <event2/event.h>
 
-#include "broker/admit.h"
 #include "broker/clock.h"
 #include "broker/phased.h"
-#include "broker/take_in.h"
 #include "broker/watch.h"
+#include "fronts/http/take_in.h"
+#include "fronts/platform/admit.h"
+#include "hosts/frames/sender.h"
 
 namespace cairnhub::broker {
 
@@ -65,7 +66,7 @@
         phased(base, decider, book, route, static_cast<int>(settings::op_types(c.settings).size())),
         members(decider, [this](NodeId id, const std::string& name, const Address& at,
                                 NodeState s) { sender.node(id, name, at, s); }),
-        admit(c.settings, c.memory, book, route),
+        admit(c.settings, book, route),
         watch(base, c.discovery, members,
               [this](bool told) {
                 if (!told) decider.list_failed(now());
--- a/tests/mangled.cpp
+++ b/tests/mangled.cpp
@@ -6,9 +6,10 @@
 #include <nlohmann/json.hpp>
 #include <random>
 
-#include "broker/admit.h"
-#include "broker/frame.h"
 #include "broker/members.h"
+#include "fronts/platform/admit.h"
+#include "hosts/frames/frame.h"
+#include "hosts/frames/sender.h"
 
 using namespace cairnhub;
 using namespace cairnhub::broker;
@@ -94,7 +95,7 @@
         base, {32, 1, kSecond, kSecond, 8}, [](Errand&, const Result&) {}, [] {});
     Route route(
         base, d, book, sender, [](NodeId) {}, [] { return false; });
-    Admit admit(s, 1 << 26, book, route);
+    Admit admit(s, book, route);
     int n = 0;
     tried("request",
           "{\"buckets\":[{\"bucket\":3,\"part\":0.5,\"effort\":9000},{\"bucket\":9,\"part\":0.5}],\"body\":"
