--- a/tests/stand_ins/register_host.h
+++ b/tests/stand_ins/register_host.h
@@ -119,7 +119,11 @@
   void say(std::uint64_t connection, RegisterHost& h, const std::string& bytes);
   void wake();
 
+  // What was looked up last, as a host asked for page after page looks up the same.
+  const std::vector<Stall>& stalls(int block, int version, const std::string* query);
+
   const Register& data_;
+  std::map<std::string, std::vector<Stall>> looked_up_;
   std::vector<std::unique_ptr<RegisterHost>> hosts_;
   std::map<std::uint64_t, Connection> connections_;
   std::uint64_t last_ = 0;
