OpenSearch-style query API: front, HTTP hosts, strict merging; a partial is never whole

Help desks hold tools that speak an OpenSearch-style API. src/opensearch/ reads and checks requests, reads each block's answer strictly, merges hits, totals and aggregations, and turns the ends of sends into the API's failures, all without I/O; fronts/opensearch/ maps _search, _msearch, _mget, _count, health and shards to multigets through the decision module; hosts/search/ asks hosts that speak only the API over pooled HTTP connections, beside those that speak frames. Not yet on the phases package, no fuzz target, not measured.

--- a/src/broker/members.cpp
+++ b/src/broker/members.cpp
@@ -24,13 +24,6 @@
   if (complete != json.end() && !complete->is_boolean()) return "complete is neither true nor false";
   const bool whole = complete == json.end() || complete->get<bool>();
 
-  struct Entry {
-    std::string id;
-    Address address;
-    NodeState state;
-    Time started;
-    int cell;
-  };
   std::vector<Entry> read;
   for (const auto& e : *entries) {
     if (!e.is_object()) return "a member is not an object";
@@ -55,6 +48,7 @@
     if (cell == e.end() || !cell->is_number_unsigned() || cell->get<std::uint64_t>() > 65535)
       return "a member has no cell";
     entry.cell = cell->get<int>();
+    if (const auto f = e.find("flavor"); f != e.end() && f->is_string()) entry.flavor = f->get<std::string>();
     const double ms = up != e.end() && up->is_number() ? up->get<double>() : up == e.end() ? 0 : -1;
     if (!(ms >= 0 && ms < 9e12)) return "a member's start is not a time";
     entry.started = static_cast<Time>(std::llround(ms * 1e6));
@@ -67,18 +61,37 @@
   for (const auto& e : read) {
     Known& k = known_[e.id];
     if (k.id == 0) k.id = ++last_id_;
-    k.address = e.address;
+    k.entry = e;
     k.named_in = lists_;
     decider_.list_node(k.id, e.state, e.started, e.cell);
-    tell_(k.id, e.id, k.address, e.state);
+    tell_(k.id, k.entry);
   }
   decider_.list_ends();
   if (whole)
-    for (const auto& [name, k] : known_)
-      if (k.named_in != lists_) tell_(k.id, name, k.address, NodeState::gone);
+    for (auto& [name, k] : known_)
+      if (k.named_in != lists_) k.entry.state = NodeState::gone, tell_(k.id, k.entry);
   return nullptr;
 }
 
+std::string Members::name_of(NodeId id) const {
+  for (const auto& [name, k] : known_)
+    if (k.id == id) return name;
+  return "";
+}
+
+std::vector<std::string> Members::ready_in(int cell) const {
+  std::vector<std::string> all;
+  for (const auto& [name, k] : known_)
+    if (k.entry.cell == cell && k.entry.state == NodeState::ready) all.push_back(name);
+  return all;
+}
+
+int Members::ready() const {
+  int n = 0;
+  for (const auto& [name, k] : known_) n += k.entry.state == NodeState::ready;
+  return n;
+}
+
 void Members::forget(NodeId id) {
   std::erase_if(known_, [&](const auto& known) { return known.second.id == id; });
 }
--- a/src/broker/members.h
+++ b/src/broker/members.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "decide.h"
 
@@ -27,21 +28,32 @@
 
 class Members {
  public:
-  // `tell` learns each node's name, address and state, the decider the whole list.
-  using Tell = std::function<void(NodeId, const std::string&, const Address&, NodeState)>;
+  struct Entry {
+    std::string id, flavor;
+    Address address;
+    NodeState state;
+    Time started;
+    int cell;
+  };
+  // `tell` learns what the list says of each node, the decider the whole list.
+  using Tell = std::function<void(NodeId, const Entry&)>;
   Members(Decider& decider, Tell tell) : decider_(decider), tell_(std::move(tell)) {}
 
   // Takes a list or changes to it. Nothing of a malformed one is taken: returns what is wrong with it, or
   // null.
   const char* take(std::string_view json);
   void forget(NodeId id);
+  std::string name_of(NodeId id) const;  // empty where it isn't known
+  // Names of nodes in service, by cell.
+  std::vector<std::string> ready_in(int cell) const;
+  int ready() const;
   bool held() const { return held_; }
   std::uint64_t revision() const { return revision_; }
 
  private:
   struct Known {
     NodeId id = 0;
-    Address address;
+    Entry entry;
     std::uint64_t named_in = 0;
   };
   Decider& decider_;
--- a/src/broker/query.h
+++ b/src/broker/query.h
@@ -17,8 +17,10 @@
 class Reply {
  public:
   virtual ~Reply() = default;
-  // `come_back` in seconds as text, or empty. Called once.
-  virtual void answer(int status, std::string_view come_back, std::string body) = 0;
+  // `come_back` in seconds as text, or empty; `type`: of the body, or null for JSON with a 200 and text else.
+  // Called once.
+  virtual void answer(int status, std::string_view come_back, std::string body,
+                      const char* type = nullptr) = 0;
 };
 
 // Whose multiget it is. It's told of each value that comes and, once, how the multiget ended; a front stands
--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -47,7 +47,8 @@
           throw std::runtime_error("configuration: discovery is not an address");
       } else {
         const auto options = options::read(file);
-        if (config) options::resolve(options, config->settings);
+        if (config)
+          options::resolve(options, config->settings), options::resolve_indices(options, config->settings);
       }
       std::printf("%s: good\n", file.c_str());
     } catch (const std::exception& e) {
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -8,6 +8,8 @@
 #include <stdexcept>
 
 #include "broker/log.h"
+#include "broker/members.h"
+#include "fronts/opensearch/front.h"
 #include "fronts/two_phase/front.h"
 #include "options/options.h"
 #include "server/broker.h"
@@ -41,6 +43,25 @@
   event* event_;
 };
 
+// What the search front tells of nodes, from the list.
+class Around : public fronts::opensearch::Surroundings {
+ public:
+  Around(const broker::Members& members, const settings::Settings& s)
+      : members_(members), cells_(s.whole("family-info.positions")), width_(s.whole("family-info.width")) {}
+  std::string node_name(NodeId id) const override { return members_.name_of(id); }
+  std::vector<std::string> holders(int block) const override {
+    std::vector<std::string> all;
+    for (int j = 0; j < width_; ++j)
+      for (auto& name : members_.ready_in((block + j) % cells_)) all.push_back(std::move(name));
+    return all;
+  }
+  int nodes() const override { return members_.ready(); }
+
+ private:
+  const broker::Members& members_;
+  int cells_, width_;
+};
+
 }  // namespace
 
 int serve(const std::string& path, const std::string& options) {
@@ -54,13 +75,26 @@
   try {
     if (path.empty()) throw std::runtime_error("RELAY_CONFIG is not set");
     const Config config = read_config(path);
-    std::vector<broker::TwoPhase> two_phase;
-    if (!options.empty())
-      for (const auto& p : options::resolve(options::read(options), config.settings))
-        two_phase.push_back({p.op_type, p.op, p.terms});
-    Broker broker(base, config, two_phase);
+    broker::Extras extras;
+    std::vector<fronts::opensearch::Index> indices;
+    opensearch::Limits limits;
+    if (!options.empty()) {
+      const auto stated = options::read(options);
+      for (const auto& p : options::resolve(stated, config.settings))
+        extras.two_phase.push_back({p.op_type, p.op, p.terms});
+      for (const auto& x : options::resolve_indices(stated, config.settings))
+        indices.push_back({x.index.name, x.index.first, x.index.blocks, x.op_type, x.index.timeout});
+      if (stated.search) {
+        extras.search_flavor = stated.search->flavor, extras.search_body_most = stated.search->answer_most;
+        limits.window_most = stated.search->window_most, limits.items_most = stated.search->items_most;
+      }
+    }
+    Broker broker(base, config, extras);
     fronts::two_phase::Front two_phase_front(broker.admit(), broker.phased());
-    if (!two_phase.empty()) broker.add(two_phase_front);
+    if (!extras.two_phase.empty()) broker.add(two_phase_front);
+    const Around around(broker.members(), config.settings);
+    fronts::opensearch::Front search_front(indices, limits, broker.book(), broker.route(), around);
+    if (!indices.empty()) broker.add(search_front);
     const OnSignal stop(base, SIGTERM, [&] {
       log("stop", "finishing what is in hand");
       broker.shut_down([base] { event_base_loopexit(base, nullptr); });
--- a/src/fronts/http/take_in.cpp
+++ b/src/fronts/http/take_in.cpp
@@ -96,7 +96,7 @@
     if (door_ && door_->waiting == this) door_->waiting = nullptr;
   }
   void left() { door_ = nullptr; }
-  void answer(int status, std::string_view come_back, std::string body) override {
+  void answer(int status, std::string_view come_back, std::string body, const char* type) override {
     if (!door_) return;  // the client has left
     Door& d = *door_;
     evhttp_request* r = std::exchange(d.asked, nullptr);
@@ -105,7 +105,10 @@
     d.since = now();
     d.begun = input_length(d.connection) > 0 ? d.since : 0;
     evkeyvalq* headers = evhttp_request_get_output_headers(r);
-    evhttp_add_header(headers, "Content-Type", status == 200 ? "application/json" : "text/plain");
+    evhttp_add_header(headers, "Content-Type",
+                      type            ? type
+                      : status == 200 ? "application/json"
+                                      : "text/plain");
     if (!come_back.empty()) evhttp_add_header(headers, "Retry-After", std::string(come_back).c_str());
     // Danger: behind a request that can't be used there may be anything.
     const bool last = d.home->last_answers_ || (status >= 400 && status < 500);
@@ -269,12 +272,15 @@
   door.asked = r;
   door.has_asked = true, door.begun = 0;
   hear_of_end(door);
-  auto reply = std::make_unique<Waiting>(door);
+  std::unique_ptr<Reply> reply = std::make_unique<Waiting>(door);
   if (const char* wrong = framing(r)) return reply->answer(400, "", std::string(wrong) + "\n");
   const char* stated = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(r));
   const std::string_view path = stated ? stated : "";
   if (path == "/_health") return reply->answer(200, "", "ready\n");
-  if (evhttp_request_get_command(r) != EVHTTP_REQ_POST) return reply->answer(405, "", "only POST here\n");
+  const auto front =
+      std::find_if(fronts_.begin(), fronts_.end(), [&](const Front* f) { return f->takes(path); });
+  const bool post = evhttp_request_get_command(r) == EVHTTP_REQ_POST;
+  if (!post && front == fronts_.end()) return reply->answer(405, "", "only POST here\n");
   const evkeyvalq* headers = evhttp_request_get_input_headers(r);
   const auto header = [&](const char* name) -> const char* {
     const char* found = nullptr;
@@ -291,10 +297,9 @@
               header("X-Resent"),
               {n ? reinterpret_cast<const char*>(evbuffer_pullup(body, -1)) : "", n}};
   std::function<void()> leave;
-  const auto front = std::find_if(fronts_.begin(), fronts_.end(),
-                                  [&](const Front* f) { return path.rfind(f->path(), 0) == 0; });
   if (front != fronts_.end()) {
-    asked.op_type = path.substr((*front)->path().size());
+    const char* parameters = evhttp_uri_get_query(evhttp_request_get_evhttp_uri(r));
+    asked.path = path, asked.parameters = parameters ? parameters : "", asked.method = post ? "POST" : "GET";
     leave = (*front)->take(asked, std::move(reply));
   } else {
     const RequestId id = admit_.take(asked, std::move(reply));
--- a/src/fronts/http/take_in.h
+++ b/src/fronts/http/take_in.h
@@ -24,9 +24,8 @@
 class Front {
  public:
   virtual ~Front() = default;
-  virtual std::string_view path() const = 0;  // what the paths of its requests begin with
-  // Takes what was asked; `asked.op_type` is the rest of the path. Returns what to call should the client
-  // leave before it's answered.
+  virtual bool takes(std::string_view path) const = 0;
+  // Returns what to call should the client leave before it's answered.
   virtual std::function<void()> take(const Asked& asked, std::unique_ptr<Reply> reply) = 0;
 };
 
--- a/src/fronts/platform/admit.h
+++ b/src/fronts/platform/admit.h
@@ -16,6 +16,7 @@
   std::string_view op_type;  // where it asked
   const char *name, *op_type_said, *time_left, *retry;
   std::string_view body;
+  std::string_view method = "POST", path = {}, parameters = {};  // of the URL, as they came
 };
 
 class Admit {
--- a/src/fronts/two_phase/front.cpp
+++ b/src/fronts/two_phase/front.cpp
@@ -88,7 +88,10 @@
   return "";
 }
 
-std::function<void()> Front::take(const broker::Asked& asked, std::unique_ptr<broker::Reply> reply) {
+std::function<void()> Front::take(const broker::Asked& said, std::unique_ptr<broker::Reply> reply) {
+  broker::Asked asked = said;
+  asked.op_type = said.path.substr(kPath.size());
+  if (said.method != "POST") return reply->answer(405, "", "only POST here\n"), nullptr;
   broker::Query head;
   phases::Query query;
   if (const char* wrong = admit_.read_head(asked, head)) {
--- a/src/fronts/two_phase/front.h
+++ b/src/fronts/two_phase/front.h
@@ -9,10 +9,11 @@
 class Front : public broker::Front {
  public:
   Front(broker::Admit& admit, broker::Phased& phased) : admit_(admit), phased_(phased) {}
-  std::string_view path() const override { return "/_two-phase/"; }
+  bool takes(std::string_view path) const override { return path.rfind(kPath, 0) == 0; }
   std::function<void()> take(const broker::Asked& asked, std::unique_ptr<broker::Reply> reply) override;
 
  private:
+  static constexpr std::string_view kPath = "/_two-phase/";
   broker::Admit& admit_;
   broker::Phased& phased_;
 };
--- a/src/hosts/frames/sender.cpp
+++ b/src/hosts/frames/sender.cpp
@@ -234,7 +234,9 @@
     frame::Call bytes;
     for (OnWay* way : call->parts) {
       const Part& p = *way->errand->part;
-      bytes.add(p.name, p.shard, way->errand->until - now(), p.text ? *p.text : p.query->text);
+      bytes.add(p.name, p.shard, way->errand->until - now(),
+                p.target.empty() ? (p.text ? *p.text : p.query->text)
+                                 : p.target + "\n" + (p.text ? *p.text : p.query->text));
       link.out[p.name] = way;
     }
     const std::string all = bytes.finish();
--- /dev/null
+++ b/src/hosts/search/searcher.h
@@ -0,0 +1,102 @@
+// Hosts that speak the OpenSearch-style query API: one HTTP/1.1 request a part, on pooled and bounded
+// connections. A send is called off by closing its connection, which such hosts take for a client that has
+// gone. What comes back ends in the outcomes that frames have:
+//
+//   200                                        returned, the body its value
+//   429, 503                                   full: turned away, surely not run
+//   any other status                           error: may have run
+//   refused, not up in time, or broken before the last byte of the request was written   surely not run
+//   broken after that                          may have run
+//   a head or body that is no HTTP, too long, or never ends                              spoilt: may have run
+#pragma once
+#include <event2/util.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "broker/hosts.h"
+#include "broker/timer.h"
+
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace cairnhub::broker {
+
+struct SearchLimits {
+  std::size_t a_node;       // connections, and so parts out
+  std::size_t connections;  // to all nodes together
+  std::size_t body_most;    // bytes of an answer
+  Time idle_at_most;
+};
+
+class Searcher : public Hosts {
+ public:
+  Searcher(event_base* base, SearchLimits limits, Ended ended, std::function<void()> turn);
+  ~Searcher() override;
+
+  void node(NodeId id, const std::string& name, const Address& address, NodeState state) override;
+  void forget(NodeId id) override;
+  void send(Errand& errand, NodeId to) override;
+  void give_up(Errand& errand) override;
+  void withdraw(Errand& errand) override;
+  void flush() override;
+
+ private:
+  struct Link;
+  struct Node;
+  struct Way;
+
+  void begin(Way& way, Link& link);
+  Link* idle_link(Node& node);
+  void answered(Link& link, evhttp_request* request);
+  void broke(Link& link, int why);
+  void stop(Way& way, End why);
+  void finish(Way& way, const Result& result);
+  void drop(Link& link);
+  void next(Node& node);
+
+  event_base* base_;
+  SearchLimits limits_;
+  Ended ended_;
+  std::function<void()> turn_;
+  std::size_t open_ = 0;
+  std::map<NodeId, std::unique_ptr<Node>> nodes_;
+  std::map<Errand*, std::unique_ptr<Way>> ways_;
+  std::vector<Node*> touched_;
+  std::vector<std::unique_ptr<Link>> dropped_;  // freed outside the library's callbacks
+  Timer sweep_;
+};
+
+// Nodes of either kind behind one door: each send goes where its node's kind is served.
+class MixedHosts : public Hosts {
+ public:
+  MixedHosts(Hosts& frames, Hosts& search) : frames_(frames), search_(search) {}
+  // Nodes of this flavor in the list speak the API.
+  void set_flavor(std::string flavor) { flavor_ = std::move(flavor); }
+  bool is_search(const std::string& flavor) const { return !flavor_.empty() && flavor == flavor_; }
+  void flavored(NodeId id, const std::string& flavor) {
+    kinds_[id] = is_search(flavor) ? &search_ : &frames_;
+  }
+
+  void node(NodeId id, const std::string& name, const Address& address, NodeState state) override {
+    of(id).node(id, name, address, state);
+  }
+  void forget(NodeId id) override { of(id).forget(id), kinds_.erase(id); }
+  void send(Errand& errand, NodeId to) override { of(to).send(errand, to); }
+  void give_up(Errand& errand) override { of(errand.node).give_up(errand); }
+  void withdraw(Errand& errand) override { of(errand.node).withdraw(errand); }
+  void flush() override { frames_.flush(), search_.flush(); }
+
+ private:
+  Hosts& of(NodeId id) {
+    const auto it = kinds_.find(id);
+    return it == kinds_.end() ? frames_ : *it->second;
+  }
+  Hosts &frames_, &search_;
+  std::string flavor_;
+  std::map<NodeId, Hosts*> kinds_;
+};
+
+}  // namespace cairnhub::broker
--- /dev/null
+++ b/src/opensearch/merge.h
@@ -0,0 +1,39 @@
+// Blocks' answers made one: the best window over all of them, totals and aggregations. No I/O.
+//
+// Order: score or sort values, then block, then id. The window is found by a heap of the blocks' next hits,
+// without a look at the rest. Totals are exact only where every block is in and each said so; else `gte`.
+// Aggregations: `terms` carries the API's error bounds, `sum` and `avg` are summed with compensation (Kahan
+// 1965) in the order of blocks so that the same answers give the same bytes, `cardinality` merges sketches.
+#pragma once
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "opensearch/answer.h"
+
+namespace cairnhub::opensearch {
+
+struct Part {
+  int block = 0;
+  const BlockAnswer* answer = nullptr;
+};
+
+struct Merged {
+  struct Place {
+    int block;
+    const Hit* hit;
+  };
+  std::vector<Place> page;  // after `from`
+  std::uint64_t total = 0;
+  bool total_exact = true;
+  std::optional<double> max_score;
+  json aggregations = json::object();
+};
+
+// `all_in`: every block of the index is. Parts in order of block. A fault where aggregations can't be made.
+Read<Merged> merge(const Search& search, const std::vector<Part>& parts, bool all_in);
+
+// The plain way, to compare with: all hits together, sorted.
+std::vector<Merged::Place> sort_all(const Search& search, const std::vector<Part>& parts);
+
+}  // namespace cairnhub::opensearch
--- /dev/null
+++ b/src/opensearch/sketch.cpp
@@ -0,0 +1,51 @@
+#include "opensearch/sketch.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace cairnhub::opensearch {
+
+void Distinct::add(std::string_view value) {
+  const std::uint64_t h = XXH64(value.data(), value.size(), 0);
+  const std::uint64_t rest = (h << kBits) | (std::uint64_t{1} << (kBits - 1));  // never without a one
+  auto& r = registers_[h >> (64 - kBits)];
+  r = std::max(r, static_cast<std::uint8_t>(std::countl_zero(rest) + 1));
+}
+
+void Distinct::merge(const Distinct& o) {
+  for (std::size_t i = 0; i < kRegisters; ++i) registers_[i] = std::max(registers_[i], o.registers_[i]);
+}
+
+double Distinct::estimate() const {
+  constexpr double m = kRegisters;
+  double sum = 0;
+  int zeros = 0;
+  for (const auto r : registers_) sum += std::ldexp(1.0, -r), zeros += r == 0;
+  const double raw = 0.7213 / (1 + 1.079 / m) * m * m / sum;
+  return raw <= 2.5 * m && zeros > 0 ? m * std::log(m / zeros) : raw;
+}
+
+std::string Distinct::text() const {
+  static const char digits[] = "0123456789abcdef";
+  std::string out;
+  for (const auto r : registers_) out += digits[r >> 4], out += digits[r & 15];
+  return out;
+}
+
+bool Distinct::read(std::string_view text, Distinct& into) {
+  if (text.size() != 2 * kRegisters) return false;
+  const auto digit = [](char c) {
+    return c >= '0' && c <= '9' ? c - '0' : c >= 'a' && c <= 'f' ? c - 'a' + 10 : -1;
+  };
+  for (std::size_t i = 0; i < kRegisters; ++i) {
+    const int high = digit(text[2 * i]), low = digit(text[2 * i + 1]);
+    if (high < 0 || low < 0 || 16 * high + low > 64 - kBits + 1) return false;
+    into.registers_[i] = static_cast<std::uint8_t>(16 * high + low);
+  }
+  return true;
+}
+
+}  // namespace cairnhub::opensearch
--- a/src/options/options.cpp
+++ b/src/options/options.cpp
@@ -74,6 +74,45 @@
   return out;
 }
 
+// Letters that can't be taken for another part of a path, and no underscore first.
+bool index_name(const std::string& n) {
+  if (n.empty() || n.size() > 128 || n[0] == '_' || n[0] == '-') return false;
+  for (const char c : n)
+    if (!((c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.')) return false;
+  return true;
+}
+
+Search search(const schema::Search& m, TextFormat::ParseInfoTree& tree, const schema::Options& whole,
+              const std::string& file) {
+  Search out;
+  const auto* outer = whole.GetDescriptor()->FindFieldByName("search");
+  auto* in = tree.GetTreeForNested(outer, -1);
+  const Checked self{file, m, in, tree.GetLocation(outer, -1).line + 1};
+  out.flavor = m.flavor();
+  out.answer_most = std::size_t{self.within("answer_most_kb", m.answer_most_kb(), 1U, 65536U)} << 10;
+  out.window_most = self.within("window_most", m.window_most(), 1U, 1000000U);
+  out.items_most = self.within("items_most", m.items_most(), 1U, 100000U);
+  const auto* inner = m.GetDescriptor()->FindFieldByName("index");
+  std::set<std::string> names;
+  for (int i = 0; i < m.index_size(); ++i) {
+    const auto& x = m.index(i);
+    const Checked at{file, x, in->GetTreeForNested(inner, i), in->GetLocation(inner, i).line + 1};
+    Index one;
+    one.line = at.line;
+    one.name = x.name(), one.op_type = x.op_type();
+    if (!index_name(one.name))
+      at.complain("name",
+                  "is '" + one.name +
+                      "'; allowed are small letters, digits, '-', '_' and '.', the first a letter or digit");
+    if (!names.insert(one.name).second) at.complain("name", "stands twice; allowed is each index once");
+    one.first = static_cast<int>(at.within("first_block", x.first_block(), 0U, 65535U));
+    one.blocks = static_cast<int>(at.within("blocks", x.blocks(), 1U, 65536U));
+    one.timeout = x.has_timeout_ms() ? ms(at.within("timeout_ms", x.timeout_ms(), 1U, 600000U)) : 0;
+    out.indices.push_back(std::move(one));
+  }
+  return out;
+}
+
 }  // namespace
 
 Options read(const std::string& file) {
@@ -105,6 +144,31 @@
       if (!names.insert(m.name()).second) at.complain("name", "stands twice; allowed is each op type once");
     }
   }
+  if (message.has_search()) out.search = search(message.search(), tree, message, out.file);
+  return out;
+}
+
+std::vector<ResolvedIndex> resolve_indices(const Options& options, const settings::Settings& settings) {
+  std::vector<ResolvedIndex> out;
+  if (!options.search) return out;
+  const auto all = settings::op_types(settings);
+  const int shards = settings.whole("family-info.ranges");
+  for (const Index& x : options.search->indices) {
+    const auto complain = [&](const std::string& what) {
+      throw OptionError(options.file + ":" + std::to_string(x.line) + ": " + what);
+    };
+    std::size_t i = 0;
+    while (i < all.size() && all[i].name != x.op_type) ++i;
+    if (i == all.size()) complain("op_type is '" + x.op_type + "'; allowed is an op type of the settings");
+    if (all[i].op.effect != Effect::retriable)
+      complain("op_type is '" + x.op_type +
+               "', which is not retriable; allowed is one that may be asked again");
+    if (x.first + x.blocks > shards)
+      complain("first_block and blocks reach past shard " + std::to_string(shards - 1) +
+               ", the last of the settings");
+    out.push_back({x, static_cast<int>(i), all[i].op});
+    if (out.back().index.timeout == 0) out.back().index.timeout = all[i].op.route_timeout;
+  }
   return out;
 }
 
--- a/src/options/options.h
+++ b/src/options/options.h
@@ -17,9 +17,23 @@
   int line = 0;
 };
 
+struct Index {
+  std::string name, op_type;
+  int first = 0, blocks = 1;
+  Time timeout = 0;  // 0: the op type's
+  int line = 0;
+};
+
+struct Search {
+  std::vector<Index> indices;
+  std::string flavor;
+  std::size_t answer_most = 1 << 20, window_most = 10000, items_most = 1000;
+};
+
 struct Options {
   std::string file;
   std::vector<PhasedOpType> two_phase;
+  std::optional<Search> search;
 };
 
 // One line: the file, where known the line, the field, and what is allowed.
@@ -39,4 +53,11 @@
 };
 std::vector<Phased> resolve(const Options& options, const settings::Settings& settings);
 
+struct ResolvedIndex {
+  Index index;
+  int op_type;
+  OpType op;
+};
+std::vector<ResolvedIndex> resolve_indices(const Options& options, const settings::Settings& settings);
+
 }  // namespace cairnhub::options
--- a/src/server/broker.cpp
+++ b/src/server/broker.cpp
@@ -8,6 +8,7 @@
 #include "fronts/http/take_in.h"
 #include "fronts/platform/admit.h"
 #include "hosts/frames/sender.h"
+#include "hosts/search/searcher.h"
 
 namespace cairnhub::broker {
 
@@ -28,6 +29,11 @@
   return {std::max(1, s.whole("ceilings.multiplex", 1)), std::max(1, s.whole("family-info.parts-a-call", 1)),
           s.span("ceilings.connect-timeout", 1), idle, (c.descriptors - kOwnDescriptors) / kNodeShare};
 }
+SearchLimits search_limits(const Config& c, const Extras& extras) {
+  const SendLimits frames = send_limits(c);
+  return {static_cast<std::size_t>(frames.calls_a_connection), frames.connections, extras.search_body_most,
+          frames.idle_at_most};
+}
 int pause_at(const Config& c) {
   return static_cast<int>(c.descriptors - kOwnDescriptors / 2 -
                           (c.descriptors - kOwnDescriptors) / kNodeShare);
@@ -39,6 +45,8 @@
   Decider decider;
   Book book;
   Sender sender;
+  Searcher searcher;
+  MixedHosts hosts;
   Route route;
   Phased phased;
   Members members;
@@ -50,22 +58,29 @@
   Timer closing;
   bool door_closed = false;
 
-  Stages(event_base* base, const Config& c, const std::vector<TwoPhase>& two_phase)
+  Stages(event_base* base, const Config& c, const Extras& extras)
       : decider(c.seed),
         book(decider, c.memory),
         sender(
             base, send_limits(c), [this](Errand& e, const Result& r) { book.ended(e, r); },
             [this] { route.turn(); }),
+        searcher(
+            base, search_limits(c, extras), [this](Errand& e, const Result& r) { book.ended(e, r); },
+            [this] { route.turn(); }),
+        hosts(sender, searcher),
         route(
-            base, decider, book, sender,
+            base, decider, book, hosts,
             [this](NodeId id) {
               members.forget(id);
-              sender.forget(id);
+              hosts.forget(id);
             },
             [this] { return phased.follow_up(); }),
         phased(base, decider, book, route, static_cast<int>(settings::op_types(c.settings).size())),
-        members(decider, [this](NodeId id, const std::string& name, const Address& at,
-                                NodeState s) { sender.node(id, name, at, s); }),
+        members(decider,
+                [this](NodeId id, const Members::Entry& e) {
+                  hosts.flavored(id, e.flavor);
+                  hosts.node(id, e.id, e.address, e.state);
+                }),
         admit(c.settings, book, route),
         watch(base, c.discovery, members,
               [this](bool told) {
@@ -76,7 +91,8 @@
         in_force(c),
         closing(base, [this] { close(); }) {
     settings::apply(c.settings, decider);
-    for (const auto& t : two_phase) phased.allow(t.op_type, t.op, t.terms);
+    hosts.set_flavor(extras.search_flavor);
+    for (const auto& t : extras.two_phase) phased.allow(t.op_type, t.op, t.terms);
     decider.start();
     if (!c.known.empty())
       if (const char* wrong = members.take(c.known))
@@ -92,12 +108,15 @@
   }
 };
 
-Broker::Broker(event_base* base, const Config& config, const std::vector<TwoPhase>& two_phase)
-    : stages_(std::make_unique<Stages>(base, config, two_phase)) {}
+Broker::Broker(event_base* base, const Config& config, const Extras& extras)
+    : stages_(std::make_unique<Stages>(base, config, extras)) {}
 Broker::~Broker() = default;
 
 Admit& Broker::admit() { return stages_->admit; }
 Phased& Broker::phased() { return stages_->phased; }
+Book& Broker::book() { return stages_->book; }
+Route& Broker::route() { return stages_->route; }
+const Members& Broker::members() const { return stages_->members; }
 void Broker::add(Front& front) { stages_->take_in.add(front); }
 
 void Broker::change(const Config& c) {
--- a/src/server/broker.h
+++ b/src/server/broker.h
@@ -2,6 +2,7 @@
 #pragma once
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "broker/config.h"
@@ -12,6 +13,9 @@
 namespace cairnhub::broker {
 
 class Admit;
+class Book;
+class Members;
+class Route;
 class Front;
 class Phased;
 
@@ -22,14 +26,24 @@
   phases::Terms terms;
 };
 
+// What operators' options add to the platform's settings.
+struct Extras {
+  std::vector<TwoPhase> two_phase;
+  std::string search_flavor;               // nodes of this flavor speak the search API; empty: none
+  std::size_t search_body_most = 1 << 20;  // bytes of one of their answers
+};
+
 class Broker {
  public:
   // Throws std::exception with one plain line where the configuration won't do.
-  Broker(event_base* base, const Config& config, const std::vector<TwoPhase>& two_phase = {});
+  Broker(event_base* base, const Config& config, const Extras& extras = {});
   ~Broker();
   // For fronts of further forms; one that is added must outlive the loop.
   Admit& admit();
   Phased& phased();
+  Book& book();
+  Route& route();
+  const Members& members() const;
   void add(Front& front);
   // Takes over what may change under way; logs what takes a restart.
   void change(const Config& config);
--- a/tests/mangled.cpp
+++ b/tests/mangled.cpp
@@ -51,7 +51,7 @@
 }
 
 struct Silent : Reply {
-  void answer(int, std::string_view, std::string) override {}
+  void answer(int, std::string_view, std::string, const char*) override {}
 };
 
 const std::string kSettings =
@@ -67,7 +67,7 @@
         [](const std::string& b) { return frame::read(b).has_value(); });
 
   Decider listed(1);
-  Members members(listed, [](NodeId, const std::string&, const Address&, NodeState) {});
+  Members members(listed, [](NodeId, const Members::Entry&) {});
   tried("list",
         "{\"revision\":41,\"complete\":true,\"members\":[{\"id\":\"s-1\",\"host_port\":\"127.0.0.1:9000\","
         "\"cell\":3,\"phase\":\"in_service\",\"up_since_ms\":1700000000000}]}",
--- a/tests/stand_ins/register_host.cpp
+++ b/tests/stand_ins/register_host.cpp
@@ -104,6 +104,10 @@
   const std::lock_guard g(home->lock_);
   ms = by, cv = spread;
 }
+void RegisterHost::lies(const std::string& how) {
+  const std::lock_guard g(home->lock_);
+  lie = how;
+}
 void RegisterHost::revive() {
   {
     const std::lock_guard g(home->lock_);
@@ -115,7 +119,8 @@
 
 // ---- All of them ----
 
-Hosts::Hosts(const Register& data, int count) : data_(data) {
+Hosts::Hosts(const Register& data, int count, const Documents* documents)
+    : data_(data), documents_(documents) {
   for (int n = 1; n <= count; ++n) {
     auto h = std::make_unique<RegisterHost>();
     h->home = this, h->number = n, h->port = kNode + n;
@@ -171,6 +176,13 @@
     stand_ins::give_up("nothing is given up");
 }
 
+void Hosts::await_connections(int n) {
+  std::unique_lock l(lock_);
+  if (!told_.wait_for(l, std::chrono::milliseconds(kPatienceMs),
+                      [&] { return static_cast<int>(connections_.size()) <= n; }))
+    stand_ins::give_up("a connection stays");
+}
+
 void Hosts::serve() {
   std::unique_lock l(lock_);
   while (!over_) {
@@ -226,6 +238,7 @@
   c.peer.in.append(some, static_cast<std::size_t>(got));
   RegisterHost& h = *c.host;
   h.in += static_cast<std::uint64_t>(got);
+  if (c.peer.in.rfind("POST ", 0) == 0) return http(id, c), true;
   for (std::string& in = c.peer.in; in.size() >= 5;) {
     std::size_t n = 0;
     for (int i = 3; i >= 0; --i) n = n << 8 | static_cast<unsigned char>(in[i]);
@@ -251,6 +264,17 @@
 
 void Hosts::part(std::uint64_t id, RegisterHost& h, const std::string& name, int block,
                  const std::string& text) {
+  if (text[0] == '/') {
+    const auto end = text.find('\n');
+    if (h.lie == "hang") return static_cast<void>(++h.counts[0]);
+    const auto [status, body] = search(h, text.substr(0, end), text.substr(end + 1));
+    return say(id, h,
+               ended(name,
+                     status == 200                   ? "hit"
+                     : status < 500 || status == 503 ? "overload"
+                                                     : "fault",
+                     body));
+  }
   const auto ask = nlohmann::json::parse(text);
   const bool match = ask["phase"] == "match";
   const int phase = match ? 0 : 1, nth = ++h.counts[phase];
@@ -314,6 +338,52 @@
   return looked_up_[key] = query ? data_.matching(block, version, *query) : data_.block(block, version);
 }
 
+std::pair<int, std::string> Hosts::search(RegisterHost& h, const std::string& target,
+                                          const std::string& body) {
+  ++h.counts[0];
+  const std::string index = target.substr(1, target.find('/', 1) - 1);
+  const int block = std::stoi(target.substr(target.rfind(':') + 1));
+  if (h.lie == "429" || h.lie == "503" || h.lie == "500") return {std::stoi(h.lie), "{}"};
+  std::string value =
+      block_answer(*documents_, index, h.lie == "other_block" ? (block + 1) % documents_->blocks() : block,
+                   json::parse(body));
+  if (h.lie.empty() || h.lie == "other_block") return {200, value};
+  if (h.lie == "cut") return {200, value.substr(0, value.size() / 2)};
+  if (h.lie.rfind("cut=", 0) == 0) return {200, value.substr(0, std::stoul(h.lie.substr(4)))};
+  json all = json::parse(value);
+  if (h.lie == "omit" && !all["hits"]["hits"].empty())
+    all["hits"]["hits"].erase(all["hits"]["hits"].size() - 1);
+  if (h.lie == "timed_out") all["timed_out"] = true;
+  if (h.lie == "failed") all["_shards"]["failed"] = 1, all["_shards"]["successful"] = 0;
+  if (h.lie == "sum") all["_shards"]["total"] = 2;
+  return {200, all.dump()};
+}
+
+void Hosts::http(std::uint64_t id, Connection& c) {
+  for (std::string& in = c.peer.in;;) {
+    const auto head = in.find("\r\n\r\n");
+    if (head == std::string::npos) return;
+    const auto length = in.find("Content-Length: ");
+    const std::size_t n = length < head ? std::stoul(in.substr(length + 16)) : 0;
+    if (in.size() < head + 4 + n) return;
+    const std::string target = in.substr(5, in.find(' ', 5) - 5), body = in.substr(head + 4, n);
+    in.erase(0, head + 4 + n);
+    RegisterHost& h = *c.host;
+    if (h.lie == "hang") {
+      ++h.counts[0];
+      continue;
+    }
+    const auto [status, value] = search(h, target, body);
+    if (h.lie == "no_http") {
+      say(id, h, "SSH-2.0-nothing to see\r\n\r\n");
+      continue;
+    }
+    say(id, h,
+        "HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Type: application/json\r\nContent-Length: " +
+            std::to_string(value.size()) + "\r\n\r\n" + value);
+  }
+}
+
 void Hosts::say(std::uint64_t connection, RegisterHost& h, const std::string& bytes) {
   std::int64_t at = 0;
   if (h.ms > 0) {
--- a/tests/stand_ins/register_host.h
+++ b/tests/stand_ins/register_host.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "stand_ins/net.h"
+#include "stand_ins/search_data.h"
 
 namespace cairnhub::stand_ins {
 
@@ -67,6 +68,10 @@
   // For load tools: each answer waits so long, spread by a lognormal of this coefficient of variation.
   void slow(double ms, double cv = 0.3);
   void revive();  // one that died listens again
+  // What it says to searches from now on: "" sound, `omit` a hit left out, `timed_out`, `failed`, `sum` (of
+  // _shards), `other_block`, `cut` (half a body), `429`, `503`, `500`, `no_http`, `hang`, or `cut=N` the
+  // first N bytes.
+  void lies(const std::string& how);
 
  private:
   friend class Hosts;
@@ -83,6 +88,7 @@
   int number = 0, version = 0, port = 0, counts[2] = {0, 0}, given_up_ = 0;
   std::uint64_t in = 0, out = 0;
   double ms = 0, cv = 0;
+  std::string lie;
   std::vector<Rule> rules[2];
   std::vector<Answer> held;
   std::unique_ptr<Listener> door;
@@ -91,7 +97,7 @@
 // All hosts of a story, served by one thread. Host n listens at kNode + n.
 class Hosts {
  public:
-  Hosts(const Register& data, int count);
+  Hosts(const Register& data, int count, const Documents* documents = nullptr);
   ~Hosts();
   RegisterHost& operator[](int number) { return *hosts_[number - 1]; }
   int asked(Phase phase) const;  // by all together
@@ -99,6 +105,7 @@
   void forget_counts();
   void await_total(Phase phase, int n);
   void await_given_up(int n);
+  void await_connections(int n);  // until so many are left
 
  private:
   friend class RegisterHost;
@@ -118,11 +125,15 @@
   void part(std::uint64_t id, RegisterHost& h, const std::string& name, int block, const std::string& text);
   void say(std::uint64_t connection, RegisterHost& h, const std::string& bytes);
   void wake();
+  // Searches, over either protocol: status and body.
+  std::pair<int, std::string> search(RegisterHost& h, const std::string& target, const std::string& body);
+  void http(std::uint64_t id, Connection& c);
 
   // What was looked up last, as a host asked for page after page looks up the same.
   const std::vector<Stall>& stalls(int block, int version, const std::string* query);
 
   const Register& data_;
+  const Documents* documents_;
   std::map<std::string, std::vector<Stall>> looked_up_;
   std::vector<std::unique_ptr<RegisterHost>> hosts_;
   std::map<std::uint64_t, Connection> connections_;
--- a/tests/stand_ins/world.h
+++ b/tests/stand_ins/world.h
@@ -22,6 +22,7 @@
              *fall_span = "2";
   std::string config = {};   // the whole of it, where stated
   std::string options = {};  // the operators', where stated
+  std::string flavors = {};  // of nodes 1, 2, ..., a letter each; absent: all `m`
   int log = -1;              // where its log goes; -1: nowhere
 };
 
@@ -32,10 +33,10 @@
   Listener discovery{kDiscovery};
   std::unique_ptr<Peer> watch;
   pid_t pid = 0;
-  std::string options, folder, config;
+  std::string options, flavors, folder, config;
   int log = -1;
 
-  explicit World(const Setup& s) : cells(s.cells), options(s.options), log(s.log) {
+  explicit World(const Setup& s) : cells(s.cells), options(s.options), flavors(s.flavors), log(s.log) {
     if (!s.config.empty()) {
       start(s.config, true);
       return;
@@ -74,10 +75,13 @@
     std::string members;
     for (int n = 1; n <= cells; ++n)
       if (only == 0 || n == only)
-        members += (members.empty() ? "" : ",") + std::string("{\"id\":\"s-") + std::to_string(n) +
-                   "\",\"host_port\":\"" + text(kNode + n) +
-                   "\",\"locality\":\"a\",\"flavor\":\"m\",\"cell\":" + std::to_string(n - 1) +
-                   ",\"phase\":\"" + phase + "\",\"size\":1.0,\"up_since_ms\":0}";
+        members +=
+            (members.empty() ? "" : ",") + std::string("{\"id\":\"s-") + std::to_string(n) +
+            "\",\"host_port\":\"" + text(kNode + n) + "\",\"locality\":\"a\",\"flavor\":\"" +
+            std::string(
+                1, n <= static_cast<int>(flavors.size()) ? flavors[static_cast<std::size_t>(n - 1)] : 'm') +
+            "\",\"cell\":" + std::to_string(n - 1) + ",\"phase\":\"" + phase +
+            "\",\"size\":1.0,\"up_since_ms\":0}";
     return "{\"revision\":" + std::to_string(revision) + ",\"complete\":" + (whole ? "true" : "false") +
            ",\"members\":[" + members + "]}";
   }
