--- /dev/null
+++ b/fuzz/readers.cpp
@@ -0,0 +1,80 @@
+// libFuzzer target for everything that is read from outside in JSON: the first byte chooses the reader. What
+// a reader takes must hold what its header promises; anything else ends the run.
+//
+//   clang++ -std=c++20 -g -O1 -fsanitize=fuzzer,address,undefined -Isrc fuzz/readers.cpp src/opensearch/*.cpp
+//     src/phases/values.cpp -lxxhash -o build/fuzz_readers && build/fuzz_readers -runs=20000 -seed=1
+//     fuzz/corpus
+#include <cstdint>
+#include <cstdlib>
+#include <string_view>
+
+#include "opensearch/merge.h"
+#include "phases/values.h"
+
+using namespace cairnhub;
+using namespace cairnhub::opensearch;
+
+namespace {
+
+void must(bool holds) {
+  if (!holds) std::abort();
+}
+
+void answer(std::string_view text, const Search& s) {
+  BlockAnswer one;
+  if (read_answer(text, s, "r", 1, one)) return;
+  must(one.hits.size() <= s.window());
+  for (const Hit& h : one.hits) must(json::parse(h.raw)["_id"] == h.id);
+  const auto merged = merge(s, {{1, &one}}, true);
+  if (const auto* m = std::get_if<Merged>(&merged)) must(m->page.size() + s.from >= one.hits.size());
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  if (size == 0) return 0;
+  const std::string_view text(reinterpret_cast<const char*>(data) + 1, size - 1);
+  const Limits limits;
+  switch (data[0] % 7) {
+    case 0: {
+      const auto read = read_search(text, limits);
+      if (const auto* s = std::get_if<Search>(&read)) {
+        must(s->window() <= limits.window_most);
+        // What goes on to the hosts is itself a request that can be read.
+        json ask;
+        must(read_json(block_request(*s), ask) == nullptr);
+      }
+      break;
+    }
+    case 1:
+      read_msearch(text, "r", limits);
+      break;
+    case 2:
+      read_mget(text, "r", limits);
+      break;
+    case 3:
+      answer(text, Search{});
+      break;
+    case 4: {
+      Search s;
+      s.sort.push_back({"levy", true, false});
+      s.aggregations.push_back({"a", "market", Aggregation::Kind::terms});
+      s.aggregations.push_back({"b", "levy", Aggregation::Kind::histogram, 10, 25, 5});
+      answer(text, s);
+      break;
+    }
+    case 5: {
+      phases::MatchList list;
+      if (phases::read_match(text, 8, nullptr, list)) break;
+      must(list.entries.size() <= 8 && list.entries.size() <= list.total);
+      for (std::size_t i = 0; i < list.entries.size(); ++i) must(!list.id(i).empty());
+      break;
+    }
+    default: {
+      phases::Details d;
+      if (phases::read_details(text, {"a", "b"}, "1", d)) break;
+      for (const auto& [stall, detail] : d.stalls) must(json::parse(detail).is_object());
+    }
+  }
+  return 0;
+}
--- a/tests/phases.cpp
+++ b/tests/phases.cpp
@@ -214,6 +214,10 @@
       for (const Stall& s : data(b, number)) all.emplace_back(-s.score, b, s.id, number);
     }
     check(in >= planner.terms.least - 0.001, "an answer below the least share");
+    std::size_t held = 0;
+    plan->each_stall(
+        [&](int, const std::string&, double, std::string_view d) { held += sizeof(Entry) + d.size(); });
+    check(plan->bytes() >= held, "matches and details held are not counted");
     std::sort(all.begin(), all.end());
     const std::size_t most = std::min({all.size(), query.limit.value_or(kAll), planner.terms.stalls_most});
     std::size_t i = 0;
