--- a/src/opensearch/answer.cpp
+++ b/src/opensearch/answer.cpp
@@ -196,6 +196,10 @@
   const json *late = member(all, "timed_out"), *shards = member(all, "_shards"), *hits = member(all, "hits");
   if (!late || !late->is_boolean()) return "timed_out is missing";
   if (late->get<bool>()) return "timed out at the host";
+  // Danger: the counts of another block, where no hit would tell.
+  const json* of = member(all, "_shard");
+  if (!of || *of != "[" + index + "][" + std::to_string(block) + "]")
+    return "an answer for a block that was not asked";
   std::uint64_t total = 0, successful = 0, failed = 0, skipped = 0;
   if (!shards || !count(member(*shards, "total"), total) ||
       !count(member(*shards, "successful"), successful) || !count(member(*shards, "failed"), failed))
@@ -221,9 +225,12 @@
   if (n > s.window()) return "more hits than asked for";
   if (s.counts && into.total < n) return "more hits than its total";
   // Danger: hits left out that nothing tells of. After a search_after the total doesn't say how many are
-  // left.
-  if (s.counts && into.total_exact && s.search_after.is_null() && s.terminate_after == 0 &&
-      n < std::min<std::uint64_t>(s.window(), into.total))
+  // left, so that hosts say it themselves.
+  std::uint64_t left = into.total;
+  if (!s.search_after.is_null() && !count(member(*hits, "remaining"), left))
+    return "hits.remaining is missing";
+  const bool known = !s.search_after.is_null() || (s.counts && into.total_exact);
+  if (known && s.terminate_after == 0 && n != std::min<std::uint64_t>(s.window(), left))
     return "hits are left out";
   Walker walker(into.bytes);
   if (!walker.into("hits") || !walker.into("hits")) return "hits are missing";
