Stand-in hosts wait in one place; unused counters and a stale comment go

Two byte counters and a member that nothing used are gone, and a comment no longer names an argument that doesn't exist.

--- a/src/opensearch/response.h
+++ b/src/opensearch/response.h
@@ -35,7 +35,7 @@
 
 json shards_json(const Shards& shards);
 
-// One search's answer. `whole`: as the core says; `indices`: whether every block that the merge needs is in.
+// One search's answer. `whole`: as the core says.
 struct Outcome {
   int status = 200;
   std::string body;
--- a/tests/search.cpp
+++ b/tests/search.cpp
@@ -28,7 +28,6 @@
 struct Talk {
   std::unique_ptr<Client> c = std::make_unique<Client>();
   int status = 0;
-  std::string head;
   json body;
   std::string raw;
   json& asks(const std::string& target, const std::string& text, const char* method = "POST") {
--- a/tests/stand_ins/register_host.cpp
+++ b/tests/stand_ins/register_host.cpp
@@ -79,10 +79,7 @@
   home->wake();
 }
 void RegisterHost::await(Phase phase, int n) {
-  std::unique_lock l(home->lock_);
-  if (!home->told_.wait_for(l, std::chrono::milliseconds(kPatienceMs),
-                            [&] { return counts[static_cast<int>(phase)] >= n; }))
-    stand_ins::give_up("a host isn't asked");
+  home->wait([&] { return counts[static_cast<int>(phase)] >= n; }, "a host isn't asked");
 }
 int RegisterHost::asked(Phase phase) const {
   const std::lock_guard g(home->lock_);
@@ -92,14 +89,6 @@
   const std::lock_guard g(home->lock_);
   return given_up_;
 }
-std::uint64_t RegisterHost::bytes_in() const {
-  const std::lock_guard g(home->lock_);
-  return in;
-}
-std::uint64_t RegisterHost::bytes_out() const {
-  const std::lock_guard g(home->lock_);
-  return out;
-}
 void RegisterHost::slow(double by, double spread) {
   const std::lock_guard g(home->lock_);
   ms = by, cv = spread;
@@ -141,12 +130,15 @@
 }
 void Hosts::wake() { static_cast<void>(!write(pipe_[1], "x", 1)); }
 
-int Hosts::asked(Phase phase) const {
-  const std::lock_guard g(lock_);
+int Hosts::sum(Phase phase) const {
   int n = 0;
   for (const auto& h : hosts_) n += h->counts[static_cast<int>(phase)];
   return n;
 }
+int Hosts::asked(Phase phase) const {
+  const std::lock_guard g(lock_);
+  return sum(phase);
+}
 void Hosts::forget_counts() {
   const std::lock_guard g(lock_);
   for (const auto& h : hosts_) h->counts[0] = h->counts[1] = 0, h->in = h->out = 0;
@@ -157,30 +149,23 @@
   for (const auto& h : hosts_) n += h->in + h->out;
   return n;
 }
-void Hosts::await_total(Phase phase, int n) {
+void Hosts::wait(const std::function<bool()>& holds, const char* else_what) {
   std::unique_lock l(lock_);
-  if (!told_.wait_for(l, std::chrono::milliseconds(kPatienceMs), [&] {
-        int sum = 0;
-        for (const auto& h : hosts_) sum += h->counts[static_cast<int>(phase)];
-        return sum >= n;
-      }))
-    stand_ins::give_up("the hosts aren't asked");
+  if (!told_.wait_for(l, std::chrono::milliseconds(kPatienceMs), holds)) stand_ins::give_up(else_what);
+}
+void Hosts::await_total(Phase phase, int n) {
+  wait([&] { return sum(phase) >= n; }, "the hosts aren't asked");
 }
 void Hosts::await_given_up(int n) {
-  std::unique_lock l(lock_);
-  if (!told_.wait_for(l, std::chrono::milliseconds(kPatienceMs), [&] {
-        int sum = 0;
-        for (const auto& h : hosts_) sum += h->given_up_;
-        return sum >= n;
-      }))
-    stand_ins::give_up("nothing is given up");
+  const auto given_up = [&] {
+    int all = 0;
+    for (const auto& h : hosts_) all += h->given_up_;
+    return all >= n;
+  };
+  wait(given_up, "nothing is given up");
 }
-
 void Hosts::await_connections(int n) {
-  std::unique_lock l(lock_);
-  if (!told_.wait_for(l, std::chrono::milliseconds(kPatienceMs),
-                      [&] { return static_cast<int>(connections_.size()) <= n; }))
-    stand_ins::give_up("a connection stays");
+  wait([&] { return static_cast<int>(connections_.size()) <= n; }, "a connection stays");
 }
 
 void Hosts::serve() {
--- a/tests/stand_ins/register_host.h
+++ b/tests/stand_ins/register_host.h
@@ -5,6 +5,7 @@
 #pragma once
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -64,7 +65,6 @@
   void await(Phase, int n);  // until so many have come
   int asked(Phase) const;
   int given_up() const;
-  std::uint64_t bytes_in() const, bytes_out() const;
   // For load tools: each answer waits so long, spread by a lognormal of this coefficient of variation.
   void slow(double ms, double cv = 0.3);
   void revive();  // one that died listens again
@@ -125,6 +125,8 @@
   void part(std::uint64_t id, RegisterHost& h, const std::string& name, int block, const std::string& text);
   void say(std::uint64_t connection, RegisterHost& h, const std::string& bytes);
   void wake();
+  int sum(Phase phase) const;  // under the lock
+  void wait(const std::function<bool()>& holds, const char* else_what);
   // Searches, over either protocol: status and body.
   std::pair<int, std::string> search(RegisterHost& h, const std::string& target, const std::string& body);
   void http(std::uint64_t id, Connection& c);
