Trace of multigets: a line each as it ends, what its client was told and each send

Change: src/broker/trace.{h,cpp}; with CAIRNHUB_TRACE=1 in its environment, Route writes a line as each multiget ends: the client's name, op type, first or later try, time left, what the client was told and after how long, and each send by node name with its outcome or how long it has been out.

--- a/src/broker/book.cpp
+++ b/src/broker/book.cpp
@@ -58,7 +58,7 @@
 }
 
 void Book::ended(Errand& e, const Result& result) {
-  e.ended = true;
+  e.ended = true, e.ended_at = now();
   Part& p = *e.part;
   Query& q = *p.query;
   Outcome how = outcome(result);
--- a/src/broker/query.h
+++ b/src/broker/query.h
@@ -43,7 +43,7 @@
   Part* part = nullptr;
   NodeId node = 0;
   int index = 0;
-  Time sent_at = 0, until = 0;
+  Time sent_at = 0, until = 0, ended_at = 0;
   bool ended = false;
   Outcome how = Outcome::ok;  // once ended
 };
@@ -65,7 +65,7 @@
   std::string name, text;
   int op_type = 0;
   bool client_retry = false;
-  Time left = 0;
+  Time left = 0, arrived = 0;
   std::vector<std::unique_ptr<Part>> parts;
   std::size_t value_bytes = 0, values_most = 65536;  // no answer in the platform's form holds more
   std::size_t bytes = 0;                             // what it takes of the memory, about
--- a/src/broker/route.cpp
+++ b/src/broker/route.cpp
@@ -5,25 +5,28 @@
 namespace cairnhub::broker {
 
 Route::Route(event_base* base, Decider& decider, Book& book, Hosts& hosts, std::function<void(NodeId)> forget,
-             std::function<bool()> follow_up)
+             std::function<bool()> follow_up, Trace::Names names)
     : decider_(decider),
       book_(book),
       hosts_(hosts),
       forget_(std::move(forget)),
       follow_up_(std::move(follow_up)),
-      wake_(base, [this] {
-        while (!wakes_.empty() && wakes_.begin()->first <= now()) {
-          decider_.woken(wakes_.begin()->second);
-          wakes_.erase(wakes_.begin());
-        }
-        turn();
-      }) {}
+      wake_(base,
+            [this] {
+              while (!wakes_.empty() && wakes_.begin()->first <= now()) {
+                decider_.woken(wakes_.begin()->second);
+                wakes_.erase(wakes_.begin());
+              }
+              turn();
+            }),
+      trace_(std::move(names)) {}
 
 RequestId Route::arrived(std::unique_ptr<Query> query) {
   Query& q = book_.open(std::move(query));
   // What ties a multiget and its parts together at the decider's door: small enough for a float to hold.
   const float number = static_cast<float>(++arrivals_ % (1 << 24));
   const Time at = now();
+  q.arrived = at;
   decider_.multiget_arrived(at, q.id, q.op_type, number, q.client_retry, q.left);
   for (const auto& p : q.parts) decider_.part_arrived(at, p->id, number, p->shard, p->weight);
   const RequestId id = q.id;
@@ -33,6 +36,7 @@
 
 void Route::abandoned(RequestId id) {
   if (Query* q = book_.query(id)) {
+    if (q->client) trace_.ended(*q, "left by its client", 0);
     decider_.multiget_abandoned(id);
     end(*q);
   }
@@ -79,6 +83,13 @@
     case Kind::push_back:
     case Kind::fail:
       if (Query* q = book_.query(d.request); q && q->client) {
+        if (trace_.on())
+          trace_.ended(*q,
+                       d.kind == Kind::push_back ? "pushed back"
+                       : d.kind == Kind::fail    ? "failed"
+                       : d.whole                 ? "answered whole"
+                                                 : "answered in part",
+                       d.kind == Kind::push_back ? d.span : 0);
         if (d.kind == Kind::answer)
           q->client->answered(*q, d.whole);
         else if (d.kind == Kind::push_back)
--- a/src/broker/route.h
+++ b/src/broker/route.h
@@ -4,15 +4,17 @@
 
 #include "broker/book.h"
 #include "broker/timer.h"
+#include "broker/trace.h"
 
 namespace cairnhub::broker {
 
 class Route {
  public:
   // `forget` is told the nodes that the decider has forgotten; `follow_up` is asked at the end of each turn
-  // for what follows from multigets that have ended: false where there was nothing.
+  // for what follows from multigets that have ended: false where there was nothing; `names` gives the names
+  // of nodes for the trace of multigets.
   Route(event_base* base, Decider& decider, Book& book, Hosts& hosts, std::function<void(NodeId)> forget,
-        std::function<bool()> follow_up);
+        std::function<bool()> follow_up, Trace::Names names = {});
 
   RequestId arrived(std::unique_ptr<Query> query);
   void abandoned(RequestId query);
@@ -30,6 +32,7 @@
   std::function<bool()> follow_up_;
   std::multimap<Time, std::uint64_t> wakes_;
   Timer wake_;
+  Trace trace_;
   bool turning_ = false;
   std::uint32_t arrivals_ = 0;
 };
--- /dev/null
+++ b/src/broker/trace.cpp
@@ -0,0 +1,68 @@
+#include "broker/trace.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+
+#include "broker/clock.h"
+
+namespace cairnhub::broker {
+
+namespace {
+
+const char* outcome_name(Outcome how) {
+  switch (how) {
+    case Outcome::ok:
+      return "ok";
+    case Outcome::error:
+      return "error";
+    case Outcome::full:
+      return "full";
+    case Outcome::timed_out:
+      return "timed out";
+    case Outcome::connect_failed:
+      return "connect failed";
+    case Outcome::reset:
+      return "reset";
+    case Outcome::cancelled:
+      return "cancelled";
+    case Outcome::not_sent:
+      return "not sent";
+  }
+  return "?";
+}
+
+std::string ms(Time span) { return std::to_string(span / (kSecond / 1000)) + " ms"; }
+
+}  // namespace
+
+Trace::Trace(Names names) : names_(std::move(names)) {
+  const char* asked = std::getenv("CAIRNHUB_TRACE");
+  on_ = asked != nullptr && std::strcmp(asked, "1") == 0;
+}
+
+void Trace::ended(const Query& q, const char* how, Time come_back) const {
+  if (!on_) return;
+  std::fprintf(stderr, "%s\n", trace_line(q, how, come_back, now(), names_).c_str());
+}
+
+std::string trace_line(const Query& q, const char* how, Time come_back, Time at, const Trace::Names& names) {
+  std::string line = "multiget ";
+  for (const char c : q.name) line += c < ' ' && c >= 0 ? '?' : c;  // the client's bytes
+  line += " (op type " + std::to_string(q.op_type) + ", " + (q.client_retry ? "a later try" : "a first try") +
+          ", " + ms(q.left) + " left, " + std::to_string(q.parts.size()) + " parts): " + how;
+  line += " after " + ms(at - q.arrived);
+  if (come_back > 0) line += ", come back in " + ms(come_back);
+  std::string sends;
+  for (std::size_t i = 0; i < q.parts.size(); ++i)
+    for (const auto& e : q.parts[i]->errands) {
+      const std::string name = names ? names(e->node) : std::string();
+      sends += (sends.empty() ? "" : ", ") + std::to_string(i) + "." + std::to_string(e->index) + " at " +
+               (name.empty() ? "node " + std::to_string(e->node) : name) + " ";
+      sends += e->ended ? std::string(outcome_name(e->how)) + " after " + ms(e->ended_at - e->sent_at)
+                        : "out for " + ms(at - e->sent_at);
+    }
+  return line + "; " + (sends.empty() ? "nothing sent" : "sends " + sends);
+}
+
+}  // namespace cairnhub::broker
--- a/src/server/broker.cpp
+++ b/src/server/broker.cpp
@@ -74,7 +74,7 @@
               members.forget(id);
               hosts.forget(id);
             },
-            [this] { return phased.follow_up(); }),
+            [this] { return phased.follow_up(); }, [this](NodeId id) { return members.name_of(id); }),
         phased(base, decider, book, route, static_cast<int>(settings::op_types(c.settings).size())),
         members(decider,
                 [this](NodeId id, const Members::Entry& e) {
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -12,6 +12,7 @@
 #include <iterator>
 #include <map>
 #include <memory>
+#include <regex>
 #include <string>
 #include <utility>
 #include <vector>
@@ -639,6 +640,38 @@
   return false;
 }
 
+void trace() {  // with CAIRNHUB_TRACE=1, a line a multiget as it ends: what its client was told, each send
+  setenv("CAIRNHUB_TRACE", "1", 1);
+  int out[2];
+  if (pipe(out) != 0) give_up("no pipe");
+  World w({.cells = 2, .log = out[1]});
+  close(out[1]);
+  Node one(1), two(2);
+  w.ready();
+  {
+    Client c;
+    c.asks("m1", "all", {0, 1});
+    const std::string a = one.reads(), b = two.reads();
+    one.hits(a, "v1");
+    two.says(b, "overload");
+    c.gets();
+    c.asks("m\"2", "all", {0});
+    one.reads();
+  }
+  std::printf("client leaves\n");
+  one.reads();
+  kill(w.pid, SIGTERM);
+  w.ends();
+  std::string all;
+  char some[512];
+  for (ssize_t n; (n = read(out[0], some, sizeof some)) > 0;) all.append(some, static_cast<std::size_t>(n));
+  close(out[0]);
+  const std::regex times("[0-9]+ ms");
+  for (std::size_t at = 0, end; (end = all.find('\n', at)) != std::string::npos; at = end + 1)
+    if (all.compare(at, 9, "multiget ") == 0)
+      std::printf("log: %s\n", std::regex_replace(all.substr(at, end - at), times, "N ms").c_str());
+}
+
 void as_run() {  // started as the deploy file's `run` says, under the mass days' refusals: serves, reloads,
                  // stops
   const std::string run = run_line();
@@ -702,6 +735,7 @@
       {"part_written", part_written},
       {"bad_config", bad_config},
       {"as_run", as_run},
+      {"trace", trace},
   };
   const auto it = stories.find(argv[2]);
   if (it == stories.end()) return 2;
