At the connection limit the connection idle longest is let go for a node without one

No broker logged 'refused' or 'not connected in time', so no node refused anything. Peak descriptors 174 of 608: 24 own, 146 to nodes, the rest clients. src/server/broker.cpp gives nodes (608 - 24) / 4 = 146 connections, fewer than the 200 nodes; in Sender::link_with_room (src/hosts/frames/sender.cpp) a node without a connection then got none until one stood idle for three quarters of the keepalive, and flush() ended its parts at once as never connected, which the module takes for a broken node (a suspect) and the client for a pushback.

Change: at the limit, a node with no connection gets the place of the connection idle longest of another node; where all carry calls, its parts end as given up before they were written (not sent: never ran, and no blame on the node). Story net_few_connections: eleven nodes, ten connections; without the change it gives up at the eleventh multiget.

--- a/src/hosts/frames/sender.cpp
+++ b/src/hosts/frames/sender.cpp
@@ -56,6 +56,7 @@
   std::unordered_map<std::string_view, OnWay*> out;  // by name at the node; looked up, never walked
   std::unique_ptr<Timer> limit;                      // to connect, then to be idle
   std::unique_ptr<Timer> rest;                       // of a frame that has begun to come
+  Time idle_since = 0;                               // when its last call ended, where none is out
   Time counted = 0;                                  // its last good frame, or silence counted up to here
   Time silence = 0;                                  // waited in vain since the last good frame
   int in_vain = 0;                                   // sends given up since then
@@ -139,8 +140,8 @@
     for (std::size_t i = 0; i < parts.size();) {
       const std::size_t upto = std::min(parts.size(), i + limits_.parts_a_call);
       Link* link = link_with_room(*n);
-      if (!link) {
-        for (; i < upto; ++i) finish(*parts[i], {End::broken, Reached::never_connected, {}});
+      if (!link) {  // none may be opened: not the node's doing, and it never ran
+        for (; i < upto; ++i) finish(*parts[i], {End::given_up, Reached::never_connected, {}});
         continue;
       }
       auto call = std::make_unique<Call>();
@@ -164,10 +165,22 @@
     if (link->to == n.address && !link->mute() && (!fewest || link->calls() < fewest->calls()))
       fewest = link.get();
   if (fewest && fewest->calls() < static_cast<std::size_t>(limits_.calls_a_connection)) return fewest;
+  if (open_ >= limits_.connections && !fewest) let_go_idle();
   Link* fresh = open_ < limits_.connections ? open(n) : nullptr;
   return fresh ? fresh : fewest;
 }
 
+// Danger: with more nodes than connections, the first ones met would hold them all until idle long enough,
+// and every part for another node would fail at once. The one idle longest goes; none, where all carry calls.
+void Sender::let_go_idle() {
+  Link* longest = nullptr;
+  for (auto& [id, n] : nodes_)
+    for (auto& link : n->links)
+      if (link->up && link->calls() == 0 && (!longest || link->idle_since < longest->idle_since))
+        longest = link.get();
+  if (longest) break_off(*longest, nullptr);
+}
+
 Sender::Link* Sender::open(Node& n) {
   auto link = std::make_unique<Link>();
   link->sender = this, link->node = &n, link->to = n.address;
@@ -244,7 +257,8 @@
     bufferevent_write(link.bev, all.data(), all.size());
     link.under_way.push_back(std::move(call));
   }
-  if (link.calls() == 0 && !link.limit->pending()) link.limit->start(limits_.idle_at_most);
+  if (link.calls() == 0 && !link.limit->pending())
+    link.limit->start(limits_.idle_at_most), link.idle_since = now();
 }
 
 void Sender::readable(Link& link) {
@@ -327,7 +341,10 @@
       const auto done = [&](const auto& c) { return c.get() == way.call; };
       link->waiting.remove_if(done);
       link->under_way.remove_if(done);
-      if (link->up && link->calls() == 0) link->limit->start(link->mute() ? 0 : limits_.idle_at_most);
+      if (link->up && link->calls() == 0) {
+        link->limit->start(link->mute() ? 0 : limits_.idle_at_most);
+        link->idle_since = now();
+      }
     }
   }
   const auto kept = ways_.extract(&errand);  // until told
--- a/src/hosts/frames/sender.h
+++ b/src/hosts/frames/sender.h
@@ -40,6 +40,7 @@
 
   Link* link_with_room(Node& node);
   Link* open(Node& node);
+  void let_go_idle();
   void write(Link& link);
   void readable(Link& link);
   void happened(Link& link, short what);
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -672,6 +672,25 @@
       std::printf("log: %s\n", std::regex_replace(all.substr(at, end - at), times, "N ms").c_str());
 }
 
+void few_connections() {  // more nodes than connections may be open: the one idle longest is let go for another
+  World w({.cells = 11, .sockets = 64});  // (64 - 24) / 4: ten connections to nodes
+  std::vector<std::unique_ptr<Node>> nodes;
+  for (int n = 1; n <= 11; ++n) nodes.push_back(std::make_unique<Node>(n));
+  w.ready();
+  Client c;
+  for (int shard = 0; shard < 11; ++shard) {
+    Node& at = *nodes[static_cast<std::size_t>(shard)];
+    const std::string name = "m" + std::to_string(shard + 1);
+    c.asks(name, "all", {shard});
+    at.hits(at.reads(), "v");
+    c.gets();
+  }
+  std::printf("node 1: %s\n", nodes[0]->reads(false).empty() ? "its connection is let go" : "still asked");
+  c.asks("m12", "all", {1});
+  nodes[1]->hits(nodes[1]->reads(), "v");
+  c.gets();
+}
+
 void as_run() {  // started as the deploy file's `run` says, under the mass days' refusals: serves, reloads,
                  // stops
   const std::string run = run_line();
@@ -736,6 +755,7 @@
       {"bad_config", bad_config},
       {"as_run", as_run},
       {"trace", trace},
+      {"few_connections", few_connections},
   };
   const auto it = stories.find(argv[2]);
   if (it == stories.end()) return 2;
