--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -672,7 +672,8 @@
       std::printf("log: %s\n", std::regex_replace(all.substr(at, end - at), times, "N ms").c_str());
 }
 
-void few_connections() {  // more nodes than connections may be open: the one idle longest is let go for another
+void few_connections() {  // more nodes than connections may be open: the one idle longest is let go for
+                          // another
   World w({.cells = 11, .sockets = 64});  // (64 - 24) / 4: ten connections to nodes
   std::vector<std::unique_ptr<Node>> nodes;
   for (int n = 1; n <= 11; ++n) nodes.push_back(std::make_unique<Node>(n));
