--- a/src/broker/clock.h
+++ b/src/base/clock.h
@@ -5,7 +5,7 @@
 
 #include "model/time.h"
 
-namespace cairnhub::broker {
+namespace cairnhub {
 
 inline Time now() {
   using namespace std::chrono;
@@ -15,4 +15,4 @@
   return origin + mono();
 }
 
-}  // namespace cairnhub::broker
+}  // namespace cairnhub
--- a/src/broker/log.cpp
+++ b/src/base/log.cpp
@@ -1,13 +1,13 @@
-#include "broker/log.h"
+#include "base/log.h"
 
 #include <cstdarg>
 #include <cstdio>
 #include <map>
 #include <string>
 
-#include "broker/clock.h"
+#include "base/clock.h"
 
-namespace cairnhub::broker {
+namespace cairnhub {
 
 void log(const char* kind, const char* format, ...) {
   constexpr int kLinesASecond = 5;
@@ -37,4 +37,4 @@
   k.held_back = 0;
 }
 
-}  // namespace cairnhub::broker
+}  // namespace cairnhub
--- a/src/broker/log.h
+++ b/src/base/log.h
@@ -2,7 +2,7 @@
 #pragma once
 #include <exception>
 
-namespace cairnhub::broker {
+namespace cairnhub {
 
 // `kind` is a literal: one word that stands first on the line and is explained in docs/on-call.md. Past a few
 // lines a second of one kind, lines are held back; the next one says how many.
@@ -18,4 +18,4 @@
   }
 }
 
-}  // namespace cairnhub::broker
+}  // namespace cairnhub
--- a/src/broker/timer.h
+++ b/src/base/timer.h
@@ -5,10 +5,10 @@
 #include <algorithm>
 #include <functional>
 
-#include "broker/log.h"
+#include "base/log.h"
 #include "model/time.h"
 
-namespace cairnhub::broker {
+namespace cairnhub {
 
 class Timer {
  public:
@@ -38,4 +38,4 @@
   event* event_;
 };
 
-}  // namespace cairnhub::broker
+}  // namespace cairnhub
--- a/src/broker/book.cpp
+++ b/src/broker/book.cpp
@@ -1,6 +1,6 @@
 #include "broker/book.h"
 
-#include "broker/clock.h"
+#include "base/clock.h"
 
 namespace cairnhub::broker {
 
--- a/src/broker/members.cpp
+++ b/src/broker/members.cpp
@@ -4,16 +4,10 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
-#include "broker/clock.h"
+#include "base/clock.h"
 
 namespace cairnhub::broker {
 
-bool parse_address(const std::string& text, Address& into) {
-  into.length = sizeof into.at;
-  return evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr*>(&into.at), &into.length) == 0 &&
-         text.rfind(':') != std::string::npos;
-}
-
 const char* Members::take(std::string_view text) {
   const auto json = nlohmann::json::parse(text, nullptr, false);
   if (!json.is_object()) return "not a JSON object";
--- a/src/broker/members.h
+++ b/src/broker/members.h
@@ -1,9 +1,6 @@
 // The list of nodes. The one place where their ids, addresses, phases and start times become the broker's
 // own.
 #pragma once
-#include <event2/util.h>
-#include <sys/socket.h>
-
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -11,21 +8,11 @@
 #include <string_view>
 #include <vector>
 
+#include "base/address.h"
 #include "decide.h"
 
 namespace cairnhub::broker {
 
-struct Address {
-  sockaddr_storage at{};
-  int length = 0;
-  bool operator==(const Address& o) const {
-    return length == o.length && evutil_sockaddr_cmp(reinterpret_cast<const sockaddr*>(&at),
-                                                     reinterpret_cast<const sockaddr*>(&o.at), 1) == 0;
-  }
-};
-// False where the text is no address with a port.
-bool parse_address(const std::string& text, Address& into);
-
 class Members {
  public:
   struct Entry {
--- a/src/broker/phased.h
+++ b/src/broker/phased.h
@@ -11,7 +11,7 @@
 
 #include "broker/book.h"
 #include "broker/route.h"
-#include "broker/timer.h"
+#include "base/timer.h"
 #include "phases/plan.h"
 
 namespace cairnhub::broker {
--- a/src/broker/route.h
+++ b/src/broker/route.h
@@ -3,7 +3,7 @@
 #include <map>
 
 #include "broker/book.h"
-#include "broker/timer.h"
+#include "base/timer.h"
 #include "broker/trace.h"
 
 namespace cairnhub::broker {
--- a/src/broker/trace.cpp
+++ b/src/broker/trace.cpp
@@ -4,7 +4,7 @@
 #include <cstdlib>
 #include <cstring>
 
-#include "broker/clock.h"
+#include "base/clock.h"
 
 namespace cairnhub::broker {
 
--- a/src/broker/watch.cpp
+++ b/src/broker/watch.cpp
@@ -6,7 +6,7 @@
 #include <stdexcept>
 #include <utility>
 
-#include "broker/clock.h"
+#include "base/clock.h"
 
 namespace cairnhub::broker {
 
--- a/src/broker/watch.h
+++ b/src/broker/watch.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "broker/members.h"
-#include "broker/timer.h"
+#include "base/timer.h"
 
 struct evhttp_connection;
 struct evhttp_request;
--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -40,10 +40,10 @@
         config = std::make_unique<broker::Config>(broker::read_config(file));
         Decider decider(config->seed);
         settings::apply(config->settings, decider);
-        broker::Address at;
-        if (!broker::parse_address(config->listen, at))
+        Address at;
+        if (!parse_address(config->listen, at))
           throw std::runtime_error("configuration: listen is not an address");
-        if (!broker::parse_address(config->discovery, at))
+        if (!parse_address(config->discovery, at))
           throw std::runtime_error("configuration: discovery is not an address");
       } else {
         const auto options = options::read(file);
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -7,7 +7,7 @@
 #include <functional>
 #include <stdexcept>
 
-#include "broker/log.h"
+#include "base/log.h"
 #include "broker/members.h"
 #include "fronts/opensearch/front.h"
 #include "fronts/two_phase/front.h"
@@ -18,8 +18,6 @@
 
 using broker::Broker;
 using broker::Config;
-using broker::guarded;
-using broker::log;
 using broker::read_config;
 
 namespace {
--- a/src/fronts/http/take_in.cpp
+++ b/src/fronts/http/take_in.cpp
@@ -16,7 +16,7 @@
 #include <cstring>
 #include <stdexcept>
 
-#include "broker/clock.h"
+#include "base/clock.h"
 
 namespace cairnhub::broker {
 
--- a/src/fronts/http/take_in.h
+++ b/src/fronts/http/take_in.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "broker/timer.h"
+#include "base/timer.h"
 #include "fronts/platform/admit.h"
 
 struct evconnlistener;
--- a/src/fronts/opensearch/front.cpp
+++ b/src/fronts/opensearch/front.cpp
@@ -4,8 +4,8 @@
 #include <map>
 #include <utility>
 
-#include "broker/clock.h"
-#include "broker/log.h"
+#include "base/clock.h"
+#include "base/log.h"
 #include "fronts/platform/relay.h"
 
 namespace cairnhub::fronts::opensearch {
@@ -72,7 +72,7 @@
   std::vector<RequestId> open;  // by slot; 0 once ended
   std::vector<Time> come_back;
   std::size_t left = 0;
-  Time began = broker::now();
+  Time began = now();
   bool gone = false;
   // Of the API's ways to say it: how the outcomes become one body.
   std::function<os::Outcome(Job&)> form;
@@ -107,7 +107,7 @@
     auto answer = std::make_unique<os::BlockAnswer>();
     const char* wrong = os::read_answer(value, search_, index_.name, part.shard - index_.first, *answer);
     if (wrong) {
-      broker::log("search", "%s: %s", part.name.c_str(), wrong);
+      log("search", "%s: %s", part.name.c_str(), wrong);
       unusable_[part.shard] = wrong;
       return Use::spoilt;
     }
@@ -128,7 +128,7 @@
     job_->whole[slot_] = whole && all_in;
     if (job_->keeps_hits)
       for (const auto& place : m.page) job_->hits[slot_].emplace_back(place.hit->raw);
-    const std::int64_t took = (broker::now() - job_->began) / 1'000'000;
+    const std::int64_t took = (now() - job_->began) / 1'000'000;
     job_->end(slot_, counts_ ? os::count_answer(m, shards, whole)
                              : os::search_answer(search_, m, shards, whole, took));
   }
@@ -297,7 +297,7 @@
   const auto& items = std::get<std::vector<os::Item>>(read);
   const auto j = job(std::move(reply), items.size(), [](Job& j) {
     std::string body =
-        "{\"took\":" + std::to_string((broker::now() - j.began) / 1'000'000) + ",\"responses\":[";
+        "{\"took\":" + std::to_string((now() - j.began) / 1'000'000) + ",\"responses\":[";
     for (std::size_t i = 0; i < j.outcomes.size(); ++i) {
       std::string& one = j.outcomes[i].body;
       if (i) body += ',';
--- a/src/hosts/frames/sender.cpp
+++ b/src/hosts/frames/sender.cpp
@@ -10,7 +10,7 @@
 #include <unordered_map>
 #include <utility>
 
-#include "broker/clock.h"
+#include "base/clock.h"
 #include "hosts/frames/frame.h"
 
 namespace cairnhub::broker {
--- a/src/hosts/frames/sender.h
+++ b/src/hosts/frames/sender.h
@@ -10,7 +10,7 @@
 
 #include "broker/hosts.h"
 #include "broker/query.h"
-#include "broker/timer.h"
+#include "base/timer.h"
 
 namespace cairnhub::broker {
 
--- a/src/hosts/search/searcher.cpp
+++ b/src/hosts/search/searcher.cpp
@@ -10,7 +10,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "broker/clock.h"
+#include "base/clock.h"
 
 namespace cairnhub::broker {
 
--- a/src/hosts/search/searcher.h
+++ b/src/hosts/search/searcher.h
@@ -17,7 +17,7 @@
 #include <vector>
 
 #include "broker/hosts.h"
-#include "broker/timer.h"
+#include "base/timer.h"
 
 struct evhttp_connection;
 struct evhttp_request;
--- a/src/server/broker.cpp
+++ b/src/server/broker.cpp
@@ -2,7 +2,7 @@
 
 #include <event2/event.h>
 
-#include "broker/clock.h"
+#include "base/clock.h"
 #include "broker/phased.h"
 #include "broker/watch.h"
 #include "fronts/http/take_in.h"
