--- /dev/null
+++ b/src/accord/versions.cpp
@@ -0,0 +1,175 @@
+#include "accord/versions.h"
+
+#include <algorithm>
+
+#include "accord/wire.h"
+
+namespace cairnhub::accord {
+
+namespace {
+
+Version make(std::uint64_t number, Rules rules, const Entry& e) {
+  Version v;
+  v.number = number;
+  v.text = text_of(rules);
+  v.hash = hash_of(v.text);
+  v.who = e.who, v.why = e.why, v.id = e.id;
+  v.rules = std::make_shared<const Rules>(std::move(rules));
+  return v;
+}
+
+std::string said(std::uint64_t n) { return std::to_string(n); }
+
+}  // namespace
+
+std::string encode(const Entry& entry) {
+  wire::Entry e;
+  e.set_kind(static_cast<std::uint32_t>(entry.kind));
+  if (!entry.id.empty()) e.set_id(entry.id);
+  if (entry.base) e.set_base(entry.base);
+  if (!entry.text.empty()) e.set_rules(entry.text);
+  if (!entry.who.empty()) e.set_who(entry.who);
+  if (!entry.why.empty()) e.set_why(entry.why);
+  if (entry.number) e.set_number(entry.number);
+  if (!entry.name.empty()) e.set_name(entry.name);
+  return e.SerializeAsString();
+}
+
+std::optional<Entry> decode_entry(std::string_view bytes) {
+  wire::Entry e;
+  if (!e.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return std::nullopt;
+  if (e.kind() < 1 || e.kind() > static_cast<std::uint32_t>(Entry::Kind::strike)) return std::nullopt;
+  if (e.rules().size() > kRulesTextMost || e.who().size() > 256 || e.why().size() > 1024 ||
+      e.id().size() > 64 || e.name().size() > 64)
+    return std::nullopt;
+  return Entry{static_cast<Entry::Kind>(e.kind()),
+               e.id(),
+               e.rules(),
+               e.who(),
+               e.why(),
+               e.name(),
+               e.base(),
+               e.number()};
+}
+
+Versions::Versions() {
+  Entry first;
+  first.who = "cairnhub", first.why = "what the platform's settings allow";
+  versions_[1] = make(1, Rules{}, first);
+  ground_ = versions_[1];
+}
+
+const Version* Versions::at(std::uint64_t number) const {
+  const auto it = versions_.find(number);
+  return it == versions_.end() ? nullptr : &it->second;
+}
+
+Verdict Versions::apply(const Entry& e) {
+  switch (e.kind) {
+    case Entry::Kind::propose:
+    case Entry::Kind::propose_ground: {
+      // Danger: a proposer that heard nothing says the same again; it must not become two versions.
+      for (const auto& [id, number] : seen_)
+        if (id == e.id) return {number, number ? "" : "refused before"};
+      const Verdict v = e.kind == Entry::Kind::propose ? propose(e) : propose_ground(e);
+      if (!e.id.empty()) seen_.emplace_back(e.id, v.number);
+      if (seen_.size() > kSeen) seen_.pop_front();
+      return v;
+    }
+    case Entry::Kind::force:
+      if (e.number <= in_force_ || !versions_.count(e.number)) return {0, "not a version that waits"};
+      in_force_ = e.number;
+      forget_old();
+      return {e.number, ""};
+    case Entry::Kind::force_ground:
+      if (!ground_next_ || ground_next_->number != e.number) return {0, "not a ground that waits"};
+      ground_ = std::move(*ground_next_);
+      ground_next_.reset();
+      return {e.number, ""};
+    case Entry::Kind::enlist:
+      if (roster_.size() >= kRoster) return {0, "the roster is full"};
+      roster_.insert(e.name);
+      return {1, ""};
+    case Entry::Kind::strike:
+      if (roster_.erase(e.name) == 0) return {0, "no such broker on the roster"};
+      return {1, ""};
+  }
+  return {0, "unknown"};
+}
+
+Verdict Versions::propose(const Entry& e) {
+  if (e.base != newest())
+    return {0,
+            "the newest version is " + said(newest()) + ", not " + said(e.base) + ": look and propose anew"};
+  if (newest() - in_force_ >= kWaiting) return {0, said(kWaiting) + " versions wait for force already"};
+  Rules rules;
+  try {
+    rules = parse_rules(e.text, "rules");
+  } catch (const RulesError& error) {
+    return {0, error.what()};
+  }
+  for (const Version* g : {&ground_, ground_next_ ? &*ground_next_ : nullptr})
+    if (g)
+      if (const std::string what = beyond(*g->rules, rules); !what.empty())
+        return {0, "contradicts the common ground, which allows more: " + what + "; propose a ground first"};
+  const std::uint64_t number = newest() + 1;
+  versions_[number] = make(number, std::move(rules), e);
+  return {number, ""};
+}
+
+Verdict Versions::propose_ground(const Entry& e) {
+  if (ground_next_) return {0, "ground " + said(ground_next_->number) + " is still being taken up"};
+  if (e.base != ground_.number)
+    return {0, "the ground is " + said(ground_.number) + ", not " + said(e.base) + ": look and propose anew"};
+  Rules rules;
+  try {
+    rules = parse_rules(e.text, "rules");
+  } catch (const RulesError& error) {
+    return {0, error.what()};
+  }
+  for (auto it = versions_.lower_bound(in_force_); it != versions_.end(); ++it)
+    if (const std::string what = beyond(rules, *it->second.rules); !what.empty())
+      return {0, "allows more than version " + said(it->first) + ": " + what};
+  ground_next_ = make(ground_.number + 1, std::move(rules), e);
+  return {ground_next_->number, ""};
+}
+
+void Versions::forget_old() {
+  while (versions_.size() > kKept && versions_.begin()->first + kKept <= in_force_)
+    versions_.erase(versions_.begin());
+}
+
+std::string Versions::snapshot() const {
+  wire::State s;
+  for (const auto& [n, v] : versions_) put(v, *s.add_version());
+  s.set_in_force(in_force_);
+  put(ground_, *s.mutable_ground());
+  if (ground_next_) put(*ground_next_, *s.mutable_ground_next());
+  for (const auto& name : roster_) s.add_roster(name);
+  for (const auto& [id, number] : seen_) s.add_seen(id), s.add_seen_number(number);
+  return s.SerializeAsString();
+}
+
+bool Versions::restore(std::string_view bytes) {
+  wire::State s;
+  if (!s.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return false;
+  Versions read;
+  read.versions_.clear();
+  for (const auto& v : s.version()) {
+    auto got = take(v);
+    if (!got) return false;
+    read.versions_[got->number] = std::move(*got);
+  }
+  read.in_force_ = s.in_force();
+  auto ground = take(s.ground());
+  if (!ground || !read.versions_.count(read.in_force_)) return false;
+  read.ground_ = std::move(*ground);
+  if (s.has_ground_next() && !(read.ground_next_ = take(s.ground_next()))) return false;
+  read.roster_ = {s.roster().begin(), s.roster().end()};
+  if (s.seen_size() != s.seen_number_size()) return false;
+  for (int i = 0; i < s.seen_size(); ++i) read.seen_.emplace_back(s.seen(i), s.seen_number(i));
+  *this = std::move(read);
+  return true;
+}
+
+}  // namespace cairnhub::accord
--- /dev/null
+++ b/src/accord/wire.cpp
@@ -0,0 +1,28 @@
+#include "accord/wire.h"
+
+namespace cairnhub::accord {
+
+void put(const Version& v, wire::Version& into) {
+  into.set_number(v.number);
+  into.set_rules(v.text);
+  into.set_hash(v.hash);
+  into.set_who(v.who);
+  into.set_why(v.why);
+  into.set_id(v.id);
+}
+
+std::optional<Version> take(const wire::Version& v) {
+  if (v.number() == 0 || v.rules().size() > kRulesTextMost || hash_of(v.rules()) != v.hash())
+    return std::nullopt;
+  Version out;
+  out.number = v.number();
+  out.text = v.rules(), out.hash = v.hash(), out.who = v.who(), out.why = v.why(), out.id = v.id();
+  try {
+    out.rules = std::make_shared<const Rules>(parse_rules(v.rules(), "version"));
+  } catch (const RulesError&) {
+    return std::nullopt;
+  }
+  return out;
+}
+
+}  // namespace cairnhub::accord
--- a/src/broker/phased.h
+++ b/src/broker/phased.h
@@ -9,9 +9,9 @@
 #include <string>
 #include <vector>
 
+#include "base/timer.h"
 #include "broker/book.h"
 #include "broker/route.h"
-#include "base/timer.h"
 #include "phases/plan.h"
 
 namespace cairnhub::broker {
--- a/src/broker/route.h
+++ b/src/broker/route.h
@@ -2,8 +2,8 @@
 #pragma once
 #include <map>
 
-#include "broker/book.h"
 #include "base/timer.h"
+#include "broker/book.h"
 #include "broker/trace.h"
 
 namespace cairnhub::broker {
--- a/src/broker/watch.h
+++ b/src/broker/watch.h
@@ -5,8 +5,8 @@
 #include <functional>
 #include <string>
 
-#include "broker/members.h"
 #include "base/timer.h"
+#include "broker/members.h"
 
 struct evhttp_connection;
 struct evhttp_request;
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -23,10 +23,14 @@
 
 const char* name_of(Health h) {
   switch (h) {
-    case Health::alive: return "alive";
-    case Health::suspect: return "suspect";
-    case Health::dead: return "dead";
-    case Health::left: return "left";
+    case Health::alive:
+      return "alive";
+    case Health::suspect:
+      return "suspect";
+    case Health::dead:
+      return "dead";
+    case Health::left:
+      return "left";
   }
   return "?";
 }
@@ -188,9 +192,12 @@
     case Message::Kind::nack:
       if (!probe_.answered && message.sequence == probe_.sequence) ++probe_.nacks;
       break;
-    case Message::Kind::exchange: exchange(now, from, Message::Kind::exchange_back); break;
+    case Message::Kind::exchange:
+      exchange(now, from, Message::Kind::exchange_back);
+      break;
     case Message::Kind::exchange_back:
-    case Message::Kind::cargo: break;
+    case Message::Kind::cargo:
+      break;
   }
   if (message.view != view() && now >= next_exchange_ && message.kind == Message::Kind::ack &&
       members_.count(from) != 0)
@@ -286,8 +293,7 @@
     m.rumours.push_back(about->second.rumour);
     bytes += size_of(about->second.rumour);
   }
-  const int most = static_cast<int>(
-      std::ceil(terms_.retell * std::log2(static_cast<double>(alive_) + 2.0)));
+  const int most = static_cast<int>(std::ceil(terms_.retell * std::log2(static_cast<double>(alive_) + 2.0)));
   std::vector<std::string> told;
   for (const auto& [times, name] : hot_) {
     const Rumour& r = members_.at(name).rumour;
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -51,9 +51,9 @@
   // suspicion_most times that.
   double suspicion_least = 4, suspicion_most = 6;
   int confirmations = 3;
-  int health_most = 8;       // local health multiplies the waits by up to one more than this
-  double retell = 3;         // each rumour rides retell x log2(members + 1) times
-  Time retry_dead = kSecond; // between tries of one held for dead, or stated and never heard
+  int health_most = 8;                // local health multiplies the waits by up to one more than this
+  double retell = 3;                  // each rumour rides retell x log2(members + 1) times
+  Time retry_dead = kSecond;          // between tries of one held for dead, or stated and never heard
   Time exchange_every = 2 * kSecond;  // least, between full exchanges begun here
   Time forget_dead = 3600 * kSecond;  // dead or left so long: its record goes (stated ones stay)
   std::size_t rumour_bytes = 1000;    // in one datagram, about
@@ -108,7 +108,7 @@
     const std::string& address() const { return stated ? stated_address : rumour.address; }
   };
   const std::map<std::string, Member>& members() const { return members_; }  // others only
-  std::size_t alive() const { return alive_; }  // others, suspects among them
+  std::size_t alive() const { return alive_; }                               // others, suspects among them
   const Rumour& self() const { return self_; }
   int local_health() const { return local_health_; }
   std::uint64_t view() const;
--- a/src/talk/seal.cpp
+++ b/src/talk/seal.cpp
@@ -112,8 +112,13 @@
     return Drop::malformed;
   // Danger: a message to another broker, or one's own, sent here by whoever stands between.
   if (in.to() != self_ || in.from() == self_) return Drop::not_for_us;
-  into = {static_cast<Kind>(in.kind()), in.from(), in.to(), std::move(*in.mutable_body()), in.ticket(),
-          in.counter(), in.nonce()};
+  into = {static_cast<Kind>(in.kind()),
+          in.from(),
+          in.to(),
+          std::move(*in.mutable_body()),
+          in.ticket(),
+          in.counter(),
+          in.nonce()};
   return Drop::none;
 }
 
@@ -195,7 +200,8 @@
         p->ticket = 0, p->hello = fresh(), p->hello_at = now;
         out.out.push_back(make({Kind::hello, self_, in.from, "", 0, 0, p->hello}));
         break;
-      case Kind::frame: out.drop = Drop::malformed;
+      case Kind::frame:
+        out.drop = Drop::malformed;
     }
   }
   if (out.drop != Drop::none) ++drops_[static_cast<std::size_t>(out.drop)];
--- a/src/talk/seal.h
+++ b/src/talk/seal.h
@@ -1,14 +1,14 @@
-// Seals and opens messages between brokers: each under a keyed MAC (HMAC-SHA-512-256, RFC 4868 with libsodium's
-// truncation), none taken twice. No I/O and no clock.
+// Seals and opens messages between brokers: each under a keyed MAC (HMAC-SHA-512-256, RFC 4868 with
+// libsodium's truncation), none taken twice. No I/O and no clock.
 //
-// A datagram carries a ticket that its receiver gave its sender, and a counter. A ticket is had by a hello with
-// a nonce and a welcome that repeats it, so that nothing sent in an earlier life of either end is ever taken: a
-// receiver that starts anew knows no tickets, and a sender that starts anew gets a new one. Within a ticket a
-// window of 64 counters refuses what came before (as RFC 4303, 3.4.3). On a stream the receiver's first word
-// is a nonce that stands in place of the ticket, and the counters follow each other without a gap.
+// A datagram carries a ticket that its receiver gave its sender, and a counter. A ticket is had by a hello
+// with a nonce and a welcome that repeats it, so that nothing sent in an earlier life of either end is ever
+// taken: a receiver that starts anew knows no tickets, and a sender that starts anew gets a new one. Within a
+// ticket a window of 64 counters refuses what came before (as RFC 4303, 3.4.3). On a stream the receiver's
+// first word is a nonce that stands in place of the ticket, and the counters follow each other without a gap.
 //
-// Errors: what can't be opened is dropped and counted by reason; nothing of it is answered but a hello under a
-// good MAC, or a ticket that is no longer known.
+// Errors: what can't be opened is dropped and counted by reason; nothing of it is answered but a hello under
+// a good MAC, or a ticket that is no longer known.
 #pragma once
 #include <array>
 #include <cstdint>
@@ -48,15 +48,15 @@
   Sealer(std::string self, std::vector<Key> keys, Random random);
   void change(std::vector<Key> keys) { keys_ = std::move(keys); }
 
-  // What is to go out now so that `body` comes to `to`: the body sealed, or first a hello, the body being held
-  // until the welcome comes. Of what is held the oldest goes when more than kHeldMost come.
+  // What is to go out now so that `body` comes to `to`: the body sealed, or first a hello, the body being
+  // held until the welcome comes. Of what is held the oldest goes when more than kHeldMost come.
   std::vector<std::string> seal(Time now, const std::string& to, std::string body);
 
   struct Opened {
     Drop drop = Drop::none;
-    std::string from;                // empty where nothing could be made of it
+    std::string from;                 // empty where nothing could be made of it
     std::optional<std::string> body;  // what it brought
-    std::vector<std::string> out;    // what is to go back to `from`
+    std::vector<std::string> out;     // what is to go back to `from`
   };
   Opened open(Time now, std::string_view datagram);
 
--- a/src/talk/talk.cpp
+++ b/src/talk/talk.cpp
@@ -105,7 +105,8 @@
   Address at;
   if (!parse_address(listen, at)) throw std::runtime_error("talk: listen is not an address with a port");
   fd_ = socket(at.at.ss_family, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-  if (fd_ < 0 || bind(fd_, reinterpret_cast<const sockaddr*>(&at.at), static_cast<socklen_t>(at.length)) != 0) {
+  if (fd_ < 0 ||
+      bind(fd_, reinterpret_cast<const sockaddr*>(&at.at), static_cast<socklen_t>(at.length)) != 0) {
     const std::string why = std::strerror(errno);
     if (fd_ >= 0) close(fd_);
     throw std::runtime_error("talk: no datagrams at " + listen + ": " + why);
@@ -166,8 +167,7 @@
   for (int i = 0; i < kDatagramsATurn; ++i) {
     Address from;
     socklen_t length = sizeof from.at;
-    const ssize_t n =
-        recvfrom(fd_, bytes, sizeof bytes, 0, reinterpret_cast<sockaddr*>(&from.at), &length);
+    const ssize_t n = recvfrom(fd_, bytes, sizeof bytes, 0, reinterpret_cast<sockaddr*>(&from.at), &length);
     if (n < 0) return;
     from.length = static_cast<int>(length);
     ++counts_.datagrams_in;
--- a/src/talk/talk.h
+++ b/src/talk/talk.h
@@ -39,8 +39,8 @@
   // `body` is good for the call only.
   using Heard = std::function<void(const std::string& from, std::string_view body)>;
   // Throws std::runtime_error with one line where `listen` can't be had.
-  Talk(event_base* base, const std::string& listen, const std::string& self, std::vector<Key> keys, Heard heard,
-       const TalkLimits& limits = {});
+  Talk(event_base* base, const std::string& listen, const std::string& self, std::vector<Key> keys,
+       Heard heard, const TalkLimits& limits = {});
   ~Talk();
   Talk(const Talk&) = delete;
   Talk& operator=(const Talk&) = delete;
--- a/tests/members.cpp
+++ b/tests/members.cpp
@@ -1,11 +1,11 @@
 // Stories of who the brokers are, in a seeded world; each prints a short trace.
+#include "fleet/members.h"
+
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
 #include <map>
 
-#include "fleet/members.h"
-
 using namespace cairnhub;
 using namespace cairnhub::fleet;
 using peers::Health;
@@ -17,8 +17,8 @@
 struct Story {
   Seeded world;
   Fleet fleet;
-  int deaths = 0;                  // one held for dead, by anyone
-  std::map<int, int> dead_of;      // by whom it was held for dead
+  int deaths = 0;                   // one held for dead, by anyone
+  std::map<int, int> dead_of;       // by whom it was held for dead
   std::map<int, Time> first, last;  // held for dead
   Story(std::uint64_t seed, int n, peers::Terms t = {}) : world(seed), fleet(world, n, t) {
     fleet.changed = [this](int, const peers::Change& c) {
@@ -117,8 +117,8 @@
   s.fleet.all[5].peers->leave(s.world.now());
   s.fleet.turn(5);
   s.fleet.kill(5);
-  std::printf("b5 leaves in good order; the others %s within 3 s; held for dead %d\n",
-              s.agrees(3 * kSecond), s.deaths);
+  std::printf("b5 leaves in good order; the others %s within 3 s; held for dead %d\n", s.agrees(3 * kSecond),
+              s.deaths);
 }
 
 void made_up(Story& s) {
@@ -139,8 +139,8 @@
   s.joins();
   const int n = static_cast<int>(s.fleet.all.size()), dead = n * 7 / 10;
   for (int i = 0; i < dead; ++i) s.fleet.kill(i);
-  std::printf("%d of %d are killed at once, the stated ones among them; the others %s within 120 s\n", dead, n,
-              s.agrees(120 * kSecond));
+  std::printf("%d of %d are killed at once, the stated ones among them; the others %s within 120 s\n", dead,
+              n, s.agrees(120 * kSecond));
   for (int i = 0; i < dead; ++i) s.fleet.start(i);
   std::printf("they start anew: all %s within 20 s\n", s.agrees(20 * kSecond));
 }
@@ -158,8 +158,12 @@
       const int b = static_cast<int>(c.below(static_cast<std::size_t>(n)));
       auto& one = s.fleet.all[static_cast<std::size_t>(a)];
       switch (c.below(6)) {
-        case 0: s.world.cut.insert({a, b}); break;
-        case 1: s.world.cut.clear(); break;
+        case 0:
+          s.world.cut.insert({a, b});
+          break;
+        case 1:
+          s.world.cut.clear();
+          break;
         case 2:
           if (one.runs && !one.paused) s.fleet.kill(a);
           break;
@@ -196,8 +200,8 @@
   const std::string story = argc > 1 ? argv[1] : "";
   if (story == "random") return random_runs(argc > 2 ? std::atoi(argv[2]) : 1000);
   const std::map<std::string, void (*)(Story&)> stories{
-      {"calm", calm},     {"death", death},     {"halves", halves}, {"one_way", one_way}, {"paused", paused},
-      {"leaves", leaves}, {"made_up", made_up}, {"most_die", most_die}};
+      {"calm", calm},     {"death", death},   {"halves", halves},   {"one_way", one_way},
+      {"paused", paused}, {"leaves", leaves}, {"made_up", made_up}, {"most_die", most_die}};
   const auto it = stories.find(story);
   if (it == stories.end()) return std::printf("no such story\n"), 1;
   Story s(7, story == "most_die" ? 30 : 12);
--- a/tests/seals.cpp
+++ b/tests/seals.cpp
@@ -1,4 +1,5 @@
-// Stories of sealed messages between brokers: what is taken, what is refused, and that nothing is taken twice.
+// Stories of sealed messages between brokers: what is taken, what is refused, and that nothing is taken
+// twice.
 #include <cstdio>
 #include <cstdlib>
 #include <string>
@@ -15,13 +16,15 @@
 
 const std::string kOne = "1 " + std::string(64, 'a'), kTwo = "2 " + std::string(64, 'b');
 Chance chance(5);
-std::uint64_t drawn() { return static_cast<std::uint64_t>(chance.below(1u << 31)) << 32 | chance.below(1u << 31); }
+std::uint64_t drawn() {
+  return static_cast<std::uint64_t>(chance.below(1u << 31)) << 32 | chance.below(1u << 31);
+}
 Sealer made(const char* name, const std::string& keys = kOne) {
   return Sealer(name, talk::parse_keys(keys, "keys"), drawn);
 }
 
 std::string shown(const Sealer::Opened& o) {
-  return o.body ? "takes '" + *o.body + "' of " + o.from
+  return o.body                 ? "takes '" + *o.body + "' of " + o.from
          : o.drop != Drop::none ? std::string("drops it: ") + name_of(o.drop)
                                 : "takes it, no body";
 }
@@ -126,9 +129,9 @@
   std::printf("  on another stream: %s\n", shown(r.open_frame(f1, 78, 1)).c_str());
 
   std::printf("key files:\n");
-  for (const std::string& bad : {std::string("1 aa"), "x " + std::string(64, 'a'), kOne + "\n" + kOne,
-                                 kOne + "\n" + kTwo + "\n3 " + std::string(64, 'c'), std::string("# none\n"),
-                                 kOne + " more"}) {
+  for (const std::string& bad :
+       {std::string("1 aa"), "x " + std::string(64, 'a'), kOne + "\n" + kOne,
+        kOne + "\n" + kTwo + "\n3 " + std::string(64, 'c'), std::string("# none\n"), kOne + " more"}) {
     try {
       talk::parse_keys(bad, "keys");
       std::printf("  taken\n");
