--- a/src/accord/leases.cpp
+++ b/src/accord/leases.cpp
@@ -80,6 +80,40 @@
     next_ask_ = now;
 }
 
+namespace {
+
+void say(std::string& into, std::uint64_t n) { into += std::to_string(n) + ' '; }
+void say(std::string& into, const Ask& a) { say(into, a.sequence), say(into, a.taken), say(into, a.have); }
+
+}  // namespace
+
+void Holder::describe(Time now, std::string& into) const {
+  const auto left = std::max<Time>(0, until_ - now);
+  say(into, static_cast<std::uint64_t>(left));
+  if (left) say(into, leased_->low), say(into, leased_->high);
+  say(into, have_), say(into, sequence_), say(into, taken_);
+  for (const auto& [sequence, at] : asked_)
+    say(into, sequence), say(into, static_cast<std::uint64_t>(now - at));
+  for (const auto& [n, v] : versions_) say(into, n);
+  into += '|';
+}
+
+void Leases::describe(Time now, std::string& into) const {
+  say(into, leading_), say(into, round_), say(into, round_out_);
+  say(into, static_cast<std::uint64_t>(std::max<Time>(0, earlier_until_ - now)));
+  for (const auto& [name, h] : held_) {
+    into += name + ' ';
+    for (const Out& o : h.out)
+      if (o.until > now)
+        say(into, o.sequence), say(into, o.high), say(into, static_cast<std::uint64_t>(o.until - now));
+  }
+  into += 'w';
+  for (const auto& [name, a] : waiting_) into += name, say(into, a);
+  into += 'r';
+  for (const auto& [name, a] : in_round_) into += name, say(into, a);
+  into += '|';
+}
+
 void Leases::leads(Time now, std::uint64_t term, std::set<std::string> voters, const std::string& self) {
   leading_ = true, term_ = term, voters_ = std::move(voters), self_ = self;
   earlier_until_ = now + terms_.for_leader();
--- a/src/accord/leases.h
+++ b/src/accord/leases.h
@@ -76,6 +76,9 @@
   const std::optional<Version>& ground_next() const { return ground_next_; }
   std::uint64_t have() const { return have_; }
   const std::map<std::uint64_t, Version>& versions() const { return versions_; }
+  // All that its further ways depend on, spans counted from `now`: two alike go on alike. For the exhaustive
+  // check.
+  void describe(Time now, std::string& into) const;
 
  private:
   void make_ground();
@@ -140,6 +143,7 @@
     std::uint64_t voter_id = 0;
   };
   const std::map<std::string, Held>& held() const { return held_; }
+  void describe(Time now, std::string& into) const;  // as Holder::describe
 
  private:
   void grant(Time now, const std::string& to, const Ask& ask, const Versions& versions);
