Fleet: a broker among others on the loop: peers, lists in common, versions, operators' address

What src/peers, src/talk and src/accord decide reaches nobody without a loop, a store and a door for operators. src/fleet/ joins them; src/accord/hearsay lets drains and ends heard by one reach all and only ever withhold; src/accord/kept is a voter's store (SQLite, a checksum a record; a damaged one is set aside and a new identity begun); src/records writes what a broker held for true; cairnhub accord and cairnhub peers; options with checks that name file, line and field. The core asks broker/common.h before it does anything: op types served, time and number in hand, sends a part, second copies, phases, indices, nodes withheld, lists refused that are older than one acted on. Absent: as before.

--- a/src/accord/accord.h
+++ b/src/accord/accord.h
@@ -63,6 +63,7 @@
 
   const std::shared_ptr<const Acting>& acting(Time now) const { return holder_.acting(now); }
   bool ever_answered() const { return ever_answered_; }
+  void keep_ground(const Version& ground) { holder_.keep(ground); }  // of an earlier life, before the start
 
   // What is known of another broker from outside, by membership.
   void peer(Time now, const std::string& name, bool alive);
--- /dev/null
+++ b/src/accord/kept.h
@@ -0,0 +1,29 @@
+// A voter's store in a folder: SQLite, each record under a checksum (XXH3).
+//
+// Errors: opening says what is wrong in one line. A store in which any record is damaged is set aside under
+// another name and a new one begun, with a new identity: this broker then joins anew, and never votes twice
+// in a term.
+#pragma once
+#include <memory>
+#include <stdexcept>
+#include <string>
+
+#include "accord/store.h"
+
+namespace cairnhub::accord {
+
+struct KeptError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+class Kept : public Store {
+ public:
+  // `make_id`: an identity for a store that is new here. `set_aside` is told the new name of a damaged one.
+  static std::unique_ptr<Kept> open(const std::string& folder, std::uint64_t make_id, std::string* set_aside);
+  static bool there(const std::string& folder);
+  // The ground that this broker keeps to, beside the log: of one that does not vote too.
+  virtual void keep_ground(const std::string& text, std::uint64_t number) = 0;
+  virtual bool ground(std::string& text, std::uint64_t& number) const = 0;
+};
+
+}  // namespace cairnhub::accord
--- a/src/broker/members.cpp
+++ b/src/broker/members.cpp
@@ -2,6 +2,7 @@
 
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -48,8 +49,17 @@
     entry.started = static_cast<Time>(std::llround(ms * 1e6));
   }
 
+  const auto at = revision->get<std::uint64_t>();
+  // Danger: an agent that lags, or was started with an older state, would take a drained node back into use.
+  if (common_ && ((held_ && at < revision_) || at < common_->list_floor()))
+    return "older than what is acted on already";
   held_ = true;
-  revision_ = revision->get<std::uint64_t>();
+  revision_ = at;
+  if (common_) {
+    common_->list_begins(at, whole);
+    for (const auto& e : read) common_->list_node(e.id, e.started, e.state);
+    common_->list_ends();
+  }
   ++lists_;
   decider_.list_begins(now(), whole);
   for (const auto& e : read) {
@@ -57,16 +67,37 @@
     if (k.id == 0) k.id = ++last_id_;
     k.entry = e;
     k.named_in = lists_;
-    decider_.list_node(k.id, e.state, e.started, e.cell);
-    tell_(k.id, k.entry);
+    k.withheld = common_ && common_->withheld(e.id, e.started);
+    tell(k);
   }
   decider_.list_ends();
   if (whole)
     for (auto& [name, k] : known_)
       if (k.named_in != lists_) k.entry.state = NodeState::gone, tell_(k.id, k.entry);
+  // A list that is as new as what was heard ends what was withheld for it, of nodes that it does not name
+  // too.
+  if (common_) reconsider();
   return nullptr;
 }
 
+void Members::tell(Known& k) {
+  Entry told = k.entry;
+  if (k.withheld && told.state == NodeState::ready) told.state = NodeState::draining;
+  decider_.list_node(k.id, told.state, told.started, told.cell);
+  tell_(k.id, told);
+}
+
+void Members::reconsider() {
+  bool begun = false;
+  for (auto& [name, k] : known_) {
+    const bool withheld = k.entry.state == NodeState::ready && common_->withheld(name, k.entry.started);
+    if (k.entry.state != NodeState::ready || withheld == k.withheld) continue;
+    if (!std::exchange(begun, true)) decider_.list_begins(now(), false);
+    k.withheld = withheld;
+    tell(k);
+  }
+}
+
 std::string Members::name_of(NodeId id) const {
   for (const auto& [name, k] : known_)
     if (k.id == id) return name;
--- a/src/broker/members.h
+++ b/src/broker/members.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/address.h"
+#include "broker/common.h"
 #include "decide.h"
 
 namespace cairnhub::broker {
@@ -29,6 +30,14 @@
   // Takes a list or changes to it. Nothing of a malformed one is taken: returns what is wrong with it, or
   // null.
   const char* take(std::string_view json);
+  // From now on nodes are withheld as brokers know in common, and no list is taken that is older than one
+  // they act on.
+  void hold(Common& common) { common_ = &common; }
+  void reconsider();  // what is withheld may have changed
+  void anew() {       // another agent: its revisions aren't those of the list in hand
+    revision_ = 0;
+    if (common_) common_->list_anew();
+  }
   void forget(NodeId id);
   std::string name_of(NodeId id) const;  // empty where it isn't known
   // Names of nodes in service, by cell.
@@ -42,9 +51,12 @@
     NodeId id = 0;
     Entry entry;
     std::uint64_t named_in = 0;
+    bool withheld = false;
   };
+  void tell(Known& k);
   Decider& decider_;
   Tell tell_;
+  Common* common_ = nullptr;
   std::map<std::string, Known> known_;
   NodeId last_id_ = 0;
   bool held_ = false;
--- a/src/broker/phased.cpp
+++ b/src/broker/phased.cpp
@@ -93,6 +93,7 @@
   Op& mine = *ops_[op_type];
   const auto add = [&](const OpType& o) {
     decider_.add_op_type(o);
+    route_.derived(op_types_, op_type);
     return op_types_++;
   };
   mine.match = add(derived);
--- a/src/broker/route.cpp
+++ b/src/broker/route.cpp
@@ -1,5 +1,7 @@
 #include "broker/route.h"
 
+#include <algorithm>
+
 #include "base/clock.h"
 
 namespace cairnhub::broker {
@@ -21,8 +23,55 @@
             }),
       trace_(std::move(names)) {}
 
+void Route::hold(Common& common, std::function<void()> apply, Time come_back) {
+  common_ = &common, apply_ = std::move(apply), come_back_ = come_back;
+  apply_();
+}
+
+void Route::derived(int op_type, int from) { derived_[op_type] = from; }
+
+int Route::counted_as(int op_type) const {
+  const auto it = derived_.find(op_type);
+  return it == derived_.end() ? op_type : it->second;
+}
+
+const OpLimits& Route::limits(int op_type) {
+  static const OpLimits none;
+  if (!common_) return none;
+  look();
+  return common_->limits(counted_as(op_type));
+}
+
+bool Route::two_phase(int op_type) {
+  look();
+  return !common_ || common_->two_phase(op_type);
+}
+
+bool Route::index(const std::string& name) {
+  look();
+  return !common_ || common_->index(name);
+}
+
+void Route::look() {
+  if (common_ && common_->changed()) apply_();
+}
+
 RequestId Route::arrived(std::unique_ptr<Query> query) {
   Query& q = book_.open(std::move(query));
+  if (common_) {
+    // What all brokers forbid is turned away before the decider hears of it: nothing of it has been sent.
+    const OpLimits& limits = this->limits(q.op_type);
+    int& held = held_[counted_as(q.op_type)];
+    const RequestId id = q.id;
+    if (!limits.served || held >= limits.held_most) {
+      ++held;  // as `end` takes it off again
+      q.client->pushed_back(q, come_back_);
+      end(q);
+      return id;
+    }
+    ++held;
+    q.left = std::min(q.left, limits.time_most);
+  }
   // What ties a multiget and its parts together at the decider's door: small enough for a float to hold.
   const float number = static_cast<float>(++arrivals_ % (1 << 24));
   const Time at = now();
@@ -46,6 +95,7 @@
 // Rule 1. Danger: what waits for its connection would be sent after the answer, where nothing may be called
 // off.
 void Route::end(Query& q) {
+  if (common_) --held_[counted_as(q.op_type)];
   for (const auto& p : q.parts)
     for (const auto& e : p->errands) hosts_.withdraw(*e);
   book_.close(q);
@@ -53,6 +103,7 @@
 
 void Route::turn() {
   if (turning_) return;
+  look();
   {
     // Danger: an exception that left the mark behind would be the last turn.
     const struct Mark {
--- a/src/broker/watch.cpp
+++ b/src/broker/watch.cpp
@@ -39,6 +39,14 @@
 // Danger: another address may stand for another list, whose revisions aren't those of the one in hand.
 void Watch::move(const std::string& discovery) {
   at(discovery);
+  stop();
+  whole_ = true, wait_ = 0;
+  members_.anew();
+  call();
+}
+
+// Danger: an agent that fell silent with a call open would be waited for as long as that may last.
+void Watch::ask_anew() {
   stop();
   whole_ = true, wait_ = 0;
   call();
--- a/src/broker/watch.h
+++ b/src/broker/watch.h
@@ -20,6 +20,7 @@
   ~Watch();
   void call();
   void move(const std::string& discovery);  // asks there at once, for the whole list
+  void ask_anew();  // the list in hand is known to be behind: the whole list, on a new connection
   void stop();
 
  private:
--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -8,9 +8,11 @@
 #include <vector>
 
 #include "broker/members.h"
+#include "cli/accord.h"
 #include "cli/serve.h"
 #include "options/options.h"
 #include "server/broker.h"
+#include "talk/seal.h"
 
 #ifndef CAIRNHUB_VERSION
 #define CAIRNHUB_VERSION "unknown"
@@ -47,8 +49,10 @@
           throw std::runtime_error("configuration: discovery is not an address");
       } else {
         const auto options = options::read(file);
+        if (options.fleet) talk::read_keys(options.fleet->key_file);
         if (config)
-          options::resolve(options, config->settings), options::resolve_indices(options, config->settings);
+          options::resolve(options, config->settings), options::resolve_indices(options, config->settings),
+              options::check_fleet(options, config->settings);
       }
       std::printf("%s: good\n", file.c_str());
     } catch (const std::exception& e) {
@@ -89,6 +93,8 @@
   auto* check_command = app.add_subcommand("check", "say whether configurations and options will do");
   check_command->add_option("FILE", files, "options are held against the configuration before them")
       ->required();
+  int accord_status = 0;
+  add_accord(app, accord_status);
   auto* version_command = app.add_subcommand("version", "print the version");
   try {
     app.parse(argc, argv);
@@ -97,6 +103,7 @@
     std::fprintf(stderr, "cairnhub: %s; see cairnhub --help\n", e.what());
     return 2;
   }
+  if (app.got_subcommand("accord") || app.got_subcommand("peers")) return accord_status;
   if (*version_command) return std::printf("cairnhub %s\n", CAIRNHUB_VERSION), 0;
   if (*check_command) return check(files);
   return serve(config, options);
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -5,10 +5,13 @@
 #include <csignal>
 #include <cstdio>
 #include <functional>
+#include <memory>
 #include <stdexcept>
 
 #include "base/log.h"
 #include "broker/members.h"
+#include "fleet/fleet.h"
+#include "fleet/operators.h"
 #include "fronts/opensearch/front.h"
 #include "fronts/two_phase/front.h"
 #include "options/options.h"
@@ -74,6 +77,8 @@
     if (path.empty()) throw std::runtime_error("RELAY_CONFIG is not set");
     const Config config = read_config(path);
     broker::Extras extras;
+    std::unique_ptr<fleet::Fleet> fleet;
+    std::unique_ptr<fleet::Operators> operators;
     std::vector<fronts::opensearch::Index> indices;
     opensearch::Limits limits;
     if (!options.empty()) {
@@ -82,12 +87,36 @@
         extras.two_phase.push_back({p.op_type, p.op, p.terms});
       for (const auto& x : options::resolve_indices(stated, config.settings))
         indices.push_back({x.index.name, x.index.first, x.index.blocks, x.op_type, x.index.timeout});
+      options::check_fleet(stated, config.settings);
+      if (stated.fleet) {
+        fleet = std::make_unique<fleet::Fleet>(base, *stated.fleet, config.settings, config.seed);
+        if (!stated.fleet->operators.empty()) operators = std::make_unique<fleet::Operators>(base, *fleet);
+        extras.common = fleet.get();
+      }
       if (stated.search) {
         extras.search_flavor = stated.search->flavor, extras.search_body_most = stated.search->answer_most;
         limits.window_most = stated.search->window_most, limits.items_most = stated.search->items_most;
       }
     }
+    if (fleet) {
+      fleet->start();
+      // The door opens once it is known what may be acted on, or the wait stated is over.
+      bool stopped = false;
+      const OnSignal stop(base, SIGTERM, [&] { stopped = true; });
+      while (!stopped && !fleet->ready()) {
+        const timeval tick{0, 20000};
+        event_base_loopexit(base, &tick);
+        event_base_dispatch(base);
+      }
+      if (stopped) {
+        fleet->leave();
+        fleet.reset();
+        event_base_free(base);
+        return 0;
+      }
+    }
     Broker broker(base, config, extras);
+    if (fleet) fleet->attach([&broker] { broker.route().turn(); }, [&broker] { broker.ask_agent(); });
     fronts::two_phase::Front two_phase_front(broker.admit(), broker.phased());
     if (!extras.two_phase.empty()) broker.add(two_phase_front);
     const Around around(broker.members(), config.settings);
@@ -95,10 +124,12 @@
     if (!indices.empty()) broker.add(search_front);
     const OnSignal stop(base, SIGTERM, [&] {
       log("stop", "finishing what is in hand");
+      if (fleet) fleet->leave();
       broker.shut_down([base] { event_base_loopexit(base, nullptr); });
     });
     // Danger: a file that is missing, half written or wrong. Nothing of it is taken.
     const OnSignal reload(base, SIGHUP, [&] {
+      if (fleet) fleet->change_keys();
       try {
         broker.change(read_config(path));
       } catch (const std::exception& e) {
--- a/src/fronts/opensearch/front.cpp
+++ b/src/fronts/opensearch/front.cpp
@@ -202,9 +202,11 @@
 bool Front::takes(std::string_view path) const { return known_verb(split(path).second); }
 
 const Index* Front::find(const std::string& name) const {
-  for (const Index& i : indices_)
+  for (const Index& i : indices_) {
+    if (!route_.index(i.name)) continue;  // taken out by rules that brokers hold in common
     if (i.name == name || ((name.empty() || name == "_all" || name == "*") && indices_.size() == 1))
       return &i;
+  }
   return nullptr;
 }
 
@@ -296,8 +298,7 @@
     return reply->answer(f->status, "", os::error_body(*f), "application/json"), nullptr;
   const auto& items = std::get<std::vector<os::Item>>(read);
   const auto j = job(std::move(reply), items.size(), [](Job& j) {
-    std::string body =
-        "{\"took\":" + std::to_string((now() - j.began) / 1'000'000) + ",\"responses\":[";
+    std::string body = "{\"took\":" + std::to_string((now() - j.began) / 1'000'000) + ",\"responses\":[";
     for (std::size_t i = 0; i < j.outcomes.size(); ++i) {
       std::string& one = j.outcomes[i].body;
       if (i) body += ',';
--- a/src/fronts/platform/admit.cpp
+++ b/src/fronts/platform/admit.cpp
@@ -78,6 +78,7 @@
   q.name = asked.name;
   q.op_type = op->second.index;
   q.left = static_cast<Time>(std::min(left, seconds(op->second.route_timeout)) * kSecond);
+  q.left = std::min(q.left, route_.limits(q.op_type).time_most);
   q.client_retry = asked.retry && std::strcmp(asked.retry, "1") == 0;
   return nullptr;
 }
--- a/src/options/options.cpp
+++ b/src/options/options.cpp
@@ -113,8 +113,91 @@
   return out;
 }
 
+bool broker_name(const std::string& n) {
+  if (n.empty() || n.size() > 64) return false;
+  for (const char c : n)
+    if (!((c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' ||
+          c == '_' || c == '.'))
+      return false;
+  return true;
+}
+bool address_with_port(const std::string& a) {
+  const auto colon = a.rfind(':');
+  if (colon == std::string::npos || colon == 0 || colon + 1 == a.size() || a.size() > 64) return false;
+  for (std::size_t i = colon + 1; i < a.size(); ++i)
+    if (a[i] < '0' || a[i] > '9') return false;
+  return true;
+}
+constexpr const char* kName = "is missing or no name; allowed are up to 64 letters, digits and -_.";
+constexpr const char* kAddress = "is missing or no address; allowed is one with a port";
+
+Accord accord(const Checked& at, const schema::Accord& m) {
+  Accord out;
+  out.stated = ms(at.within("stated_time_ms", m.stated_time_ms(), 100U, 600000U));
+  out.drift = at.within("drift", m.drift(), 0.0, 0.2);
+  out.replace_after = ms(at.within("replace_voter_after_ms", m.replace_voter_after_ms(), 1000U, 86400000U));
+  out.start_wait =
+      m.has_start_wait_ms() ? ms(at.within("start_wait_ms", m.start_wait_ms(), 0U, 600000U)) : 2 * out.stated;
+  if (m.voter_size() < 1 || m.voter_size() > 7 || m.voter_size() % 2 == 0)
+    at.complain("voter", "names " + std::to_string(m.voter_size()) + "; allowed are 1, 3, 5 or 7");
+  std::set<std::string> names;
+  for (const auto& v : m.voter()) {
+    if (!broker_name(v)) at.complain("voter", kName);
+    if (!names.insert(v).second) at.complain("voter", "\"" + v + "\" stands twice");
+    out.voters.push_back(v);
+  }
+  out.folder = m.folder(), out.ground_file = m.ground_file();
+  return out;
+}
+
+Fleet fleet(const schema::Fleet& m, TextFormat::ParseInfoTree& tree, const schema::Options& outer,
+            const std::string& file) {
+  const auto* field = outer.GetDescriptor()->FindFieldByName("fleet");
+  auto* in = tree.GetTreeForNested(field, -1);
+  const Checked at{file, m, in, tree.GetLocation(field, -1).line + 1};
+  Fleet out;
+  out.line = at.line;
+  out.name = m.name(), out.listen = m.listen(), out.key_file = m.key_file();
+  if (!broker_name(out.name)) at.complain("name", kName);
+  if (!address_with_port(out.listen)) at.complain("listen", kAddress);
+  out.advertise = m.has_advertise() ? m.advertise() : out.listen;
+  if (!address_with_port(out.advertise)) at.complain("advertise", kAddress);
+  if (out.key_file.empty()) at.complain("key_file", "is missing; allowed is the name of a file");
+  if (m.has_operators() && !address_with_port(m.operators())) at.complain("operators", kAddress);
+  out.operators = m.operators(), out.records = m.records();
+  out.probe = ms(at.within("probe_ms", m.probe_ms(), 20U, 60000U));
+  out.answer_within = ms(at.within("answer_within_ms", m.answer_within_ms(), 5U, m.probe_ms()));
+  out.share_lists = m.share_lists();
+  std::set<std::string> names;
+  const auto* peers = m.GetDescriptor()->FindFieldByName("peer");
+  for (int i = 0; i < m.peer_size(); ++i) {
+    const auto& p = m.peer(i);
+    const Checked here{file, p, in->GetTreeForNested(peers, i), in->GetLocation(peers, i).line + 1};
+    if (!broker_name(p.name())) here.complain("name", kName);
+    if (!names.insert(p.name()).second) here.complain("name", "stands twice");
+    if (!address_with_port(p.address())) here.complain("address", kAddress);
+    out.peers.push_back({p.name(), p.address()});
+  }
+  if (m.has_accord()) {
+    const auto* f = m.GetDescriptor()->FindFieldByName("accord");
+    const Checked here{file, m.accord(), in->GetTreeForNested(f, -1), in->GetLocation(f, -1).line + 1};
+    out.accord = accord(here, m.accord());
+    for (const auto& v : out.accord->voters)
+      if (v != out.name && !names.count(v))
+        here.complain("voter", "\"" + v + "\" is neither this broker nor a stated peer");
+  }
+  return out;
+}
+
 }  // namespace
 
+void check_fleet(const Options& options, const settings::Settings& settings) {
+  if (options.fleet && !settings.flag("ceilings.peers", true))
+    throw OptionError(
+        options.file + ":" + std::to_string(options.fleet->line) +
+        ": fleet is stated, but the settings' ceilings.peers forbids brokers to talk to each other");
+}
+
 Options read(const std::string& file) {
   std::ifstream in(file, std::ios::binary);
   if (!in) throw OptionError(file + ": can't be read");
@@ -144,6 +227,7 @@
       if (!names.insert(m.name()).second) at.complain("name", "stands twice; allowed is each op type once");
     }
   }
+  if (message.has_fleet()) out.fleet = fleet(message.fleet(), tree, message, out.file);
   if (message.has_search()) out.search = search(message.search(), tree, message, out.file);
   return out;
 }
--- a/src/options/options.h
+++ b/src/options/options.h
@@ -30,10 +30,31 @@
   std::size_t answer_most = 1 << 20, window_most = 10000, items_most = 1000;
 };
 
+struct Peer {
+  std::string name, address;
+};
+
+struct Accord {
+  Time stated = 2 * kSecond, replace_after = 30 * kSecond, start_wait = 4 * kSecond;
+  double drift = 0.01;
+  std::vector<std::string> voters;
+  std::string folder, ground_file;
+};
+
+struct Fleet {
+  std::string name, listen, advertise, key_file, operators, records;
+  std::vector<Peer> peers;
+  Time probe = kSecond / 2, answer_within = kSecond / 5;
+  bool share_lists = true;
+  std::optional<Accord> accord;
+  int line = 0;
+};
+
 struct Options {
   std::string file;
   std::vector<PhasedOpType> two_phase;
   std::optional<Search> search;
+  std::optional<Fleet> fleet;
 };
 
 // One line: the file, where known the line, the field, and what is allowed.
@@ -60,4 +81,7 @@
 };
 std::vector<ResolvedIndex> resolve_indices(const Options& options, const settings::Settings& settings);
 
+// Refuses a fleet where the settings forbid brokers to talk to each other. Throws OptionError.
+void check_fleet(const Options& options, const settings::Settings& settings);
+
 }  // namespace cairnhub::options
--- a/src/server/broker.cpp
+++ b/src/server/broker.cpp
@@ -2,6 +2,8 @@
 
 #include <event2/event.h>
 
+#include <algorithm>
+
 #include "base/clock.h"
 #include "broker/phased.h"
 #include "broker/watch.h"
@@ -91,6 +93,21 @@
         in_force(c),
         closing(base, [this] { close(); }) {
     settings::apply(c.settings, decider);
+    if (extras.common) {
+      members.hold(*extras.common);
+      const Time come_back =
+          c.settings.flag("ceilings.retry-after", false) ? c.settings.span("ceilings.max-retry-after", 0) : 0;
+      route.hold(
+          *extras.common,
+          [this, common = extras.common] {
+            const auto& s = in_force.settings;
+            decider.set_sends(std::min(s.whole("ceilings.try-limit", 1), common->sends_most()),
+                              s.flag("ceilings.second-copies", false) && common->second_copies(),
+                              s.flag("ceilings.cancel", false));
+            members.reconsider();
+          },
+          come_back);
+    }
     hosts.set_flavor(extras.search_flavor);
     for (const auto& t : extras.two_phase) phased.allow(t.op_type, t.op, t.terms);
     decider.start();
@@ -117,6 +134,7 @@
 Book& Broker::book() { return stages_->book; }
 Route& Broker::route() { return stages_->route; }
 const Members& Broker::members() const { return stages_->members; }
+void Broker::ask_agent() { stages_->watch.ask_anew(); }
 void Broker::add(Front& front) { stages_->take_in.add(front); }
 
 void Broker::change(const Config& c) {
--- a/src/server/broker.h
+++ b/src/server/broker.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "broker/common.h"
 #include "broker/config.h"
 #include "phases/plan.h"
 
@@ -31,6 +32,7 @@
   std::vector<TwoPhase> two_phase;
   std::string search_flavor;               // nodes of this flavor speak the search API; empty: none
   std::size_t search_body_most = 1 << 20;  // bytes of one of their answers
+  Common* common = nullptr;                // what is held in common with other brokers; it outlives this one
 };
 
 class Broker {
@@ -45,6 +47,7 @@
   Route& route();
   const Members& members() const;
   void add(Front& front);
+  void ask_agent();  // for the whole list, at once
   // Takes over what may change under way; logs what takes a restart.
   void change(const Config& config);
   // Goes on for as long as clients may still come, finishes what it has taken, then calls `done`. Once.
