--- a/src/accord/kept.cpp
+++ b/src/accord/kept.cpp
@@ -4,6 +4,7 @@
 #include <sys/stat.h>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstring>
 #include <functional>
@@ -80,8 +81,8 @@
   // False: damaged.
   bool load(std::uint64_t make_id) {
     // Small pages and caches: the store holds little, and the broker's memory is counted.
-    if (!run("PRAGMA cache_size=64") || !run("PRAGMA journal_mode=DELETE") ||
-        !run("PRAGMA synchronous=FULL") ||
+    if (!run("PRAGMA cache_size=64") || !run("PRAGMA cell_size_check=ON") ||
+        !run("PRAGMA journal_mode=DELETE") || !run("PRAGMA synchronous=FULL") ||
         !run("CREATE TABLE IF NOT EXISTS one(name TEXT PRIMARY KEY, data BLOB, sum INTEGER)") ||
         !run("CREATE TABLE IF NOT EXISTS log(at INTEGER PRIMARY KEY, term INTEGER, type INTEGER, data BLOB, "
              "sum "
@@ -105,6 +106,15 @@
     number("term", now_.term);
     number("vote", now_.vote);
     std::string bytes;
+    {
+      Statement rows(db_, "SELECT name FROM one");
+      // Danger: damaged pages that lead back to each other.
+      for (int n = 0; rows.row(); ++n) {
+        if (n > 32) return false;
+        one(rows.bytes(0).c_str(), bytes, damaged);
+      }
+      if (!rows.good()) return false;
+    }
     if (one("snapshot", bytes, damaged)) {
       Snapshot s;
       if (bytes.size() < 32) return false;
@@ -126,14 +136,33 @@
       ++next;
     }
     if (now_.entries.empty() && now_.snapshot) now_.first = now_.snapshot->index + 1;
-    return all.good() && !damaged;
+    if (!all.good() || damaged) return false;
+    // Danger: a page that is damaged so that records are missing, each of the others being sound.
+    for (std::size_t i = 0; i < now_.entries.size(); ++i) sums_ += sum_of(now_.first + i, now_.entries[i]);
+    next_ = now_.entries.empty() ? 0 : now_.first + now_.entries.size();
+    low_ = now_.entries.empty() ? 0 : now_.first;
+    term_ = now_.term, vote_ = now_.vote;
+    snapshot_sum_ =
+        now_.snapshot ? sum(now_.snapshot->configuration + now_.snapshot->data, now_.snapshot->index) : 0;
+    std::string summary;
+    const bool there = one("summary", summary, damaged);
+    if (damaged || (there ? summary != summary_now() : now_.term != 0 || !now_.entries.empty())) return false;
+    return there || put_summary();
   }
 
   const Stored& loaded() const override { return now_; }
   bool set_term(std::uint64_t term) override {
-    return all_or_nothing([&] { return put_number("term", term) && put_number("vote", 0); });
+    return all_or_nothing([&] {
+      term_ = term, vote_ = 0;
+      return put_number("term", term) && put_number("vote", 0);
+    });
+  }
+  bool set_vote(std::uint64_t id) override {
+    return all_or_nothing([&] {
+      vote_ = id;
+      return put_number("vote", id);
+    });
   }
-  bool set_vote(std::uint64_t id) override { return put_number("vote", id); }
   bool append(std::uint64_t first, const std::vector<LogEntry>& entries) override {
     return all_or_nothing([&] {
       std::uint64_t at = first;
@@ -146,13 +175,21 @@
                  .add(sum_of(at, e))
                  .run())
           return false;
+        sums_ += sum_of(at, e);
         ++at;
       }
+      if (low_ == 0) low_ = first;
+      next_ = at;
       return true;
     });
   }
   bool truncate(std::uint64_t from) override {
-    return Statement(db_, "DELETE FROM log WHERE at >= ?").add(from).run();
+    return all_or_nothing([&] {
+      if (!take_off("SELECT sum FROM log WHERE at >= ?", from)) return false;
+      next_ = from;
+      if (next_ <= low_) low_ = next_ = 0;
+      return Statement(db_, "DELETE FROM log WHERE at >= ?").add(from).run();
+    });
   }
   bool put(const Snapshot& s, std::uint64_t keep_from) override {
     std::string bytes(32, '\0');
@@ -160,6 +197,12 @@
     std::memcpy(bytes.data(), n, 32);
     bytes += s.configuration + s.data;
     return all_or_nothing([&] {
+             if (!take_off("SELECT sum FROM log WHERE at < ?", keep_from)) return false;
+             if (keep_from >= next_)
+               low_ = next_ = 0;
+             else
+               low_ = std::max(low_, keep_from);
+             snapshot_sum_ = sum(s.configuration + s.data, s.index);
              return put_one("snapshot", bytes) &&
                     Statement(db_, "DELETE FROM log WHERE at < ?").add(keep_from).run();
            }) &&
@@ -189,10 +232,24 @@
   bool run(const char* sql) { return sqlite3_exec(db_, sql, nullptr, nullptr, nullptr) == SQLITE_OK; }
   bool all_or_nothing(const std::function<bool()>& what) {
     if (!run("BEGIN IMMEDIATE")) return false;
-    if (what() && run("COMMIT")) return true;
-    run("ROLLBACK");
+    if (what() && put_summary() && run("COMMIT")) return true;
+    run("ROLLBACK");  // nothing more is built on this store: what is counted here no longer matters
     return false;
   }
+  bool take_off(const char* sql, std::uint64_t at) {
+    Statement s(db_, sql);
+    s.add(at);
+    while (s.row()) sums_ -= s.number(0);
+    return s.good();
+  }
+  // Of everything that a vote hangs on.
+  std::string summary_now() const {
+    const std::uint64_t n[7] = {now_.voter_id, term_, vote_, low_, next_, sums_, snapshot_sum_};
+    std::string bytes(sizeof n, '\0');
+    std::memcpy(bytes.data(), n, sizeof n);
+    return bytes;
+  }
+  bool put_summary() { return put_one("summary", summary_now()); }
   bool put_one(const char* name, const std::string& bytes) {
     return Statement(db_, "INSERT OR REPLACE INTO one VALUES(?,?,?)")
         .add(std::string_view(name))
@@ -218,7 +275,8 @@
   }
 
   sqlite3* db_ = nullptr;
-  Stored now_;
+  Stored now_;  // as it was found, but for the snapshot
+  std::uint64_t term_ = 0, vote_ = 0, low_ = 0, next_ = 0, sums_ = 0, snapshot_sum_ = 0;  // as they are
 };
 
 }  // namespace
--- a/src/accord/leases.cpp
+++ b/src/accord/leases.cpp
@@ -73,7 +73,8 @@
   if (!same) leased_ = std::move(a);
   until_ = at + terms_.for_holder();
   taken_ = g.sequence;
-  versions_.erase(versions_.begin(), versions_.lower_bound(g.low));
+  if (g.low > Versions::kKept)
+    versions_.erase(versions_.begin(), versions_.lower_bound(g.low - Versions::kKept));
   next_ask_ = at + terms_.renew_after();
   // Danger: what is only acknowledged with the next renewal would make every change wait for it.
   if (!same || ground_.number != ground_before || (ground_next_ ? ground_next_->number : 0) != next_before)
@@ -160,9 +161,8 @@
   Grant g;
   g.sequence = ask.sequence, g.term = term_;
   if (ask.have >= versions.newest()) g.low = versions.in_force(), g.high = versions.newest();
-  // What it lacks; never less than from the one in force on, so that it can take the meet.
-  for (auto it = versions.all().lower_bound(std::max(versions.in_force(), ask.have + 1));
-       it != versions.all().end(); ++it)
+  // What it lacks; to one that has nothing the history too, so that operators may ask any broker.
+  for (auto it = versions.all().lower_bound(ask.have + 1); it != versions.all().end(); ++it)
     g.versions.push_back(it->second);
   const std::uint64_t ground =
       versions.ground_next() ? versions.ground_next()->number : versions.ground().number;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -186,6 +186,7 @@
     const accord::Notice notice{n.node(), n.started(), n.gone(), n.revision()};
     if (!hearsay_.heard(notice)) continue;
     ++hearsay_now_;
+    if (records_) told_.insert(notice.node);
     if (records_)
       records_->say("heard")
           .with("node", notice.node)
@@ -252,9 +253,10 @@
     while (auto o = accord_->send()) send_accord(o->to, o->bytes);
     note_lease();
     const auto& ground = accord_->holder().ground();
-    if (store_ && ground.number > kept_ground_ && !accord_->holder().ground_next()) {
+    if (ground.number > kept_ground_ && !accord_->holder().ground_next()) {
       kept_ground_ = ground.number;
-      store_->keep_ground(ground.text, ground.number);
+      if (store_) store_->keep_ground(ground.text, ground.number);
+      if (records_) records_->say("keeps").with("ground", ground.number);
     }
   }
   look_behind();
@@ -352,8 +354,13 @@
 }
 void Fleet::list_node(const std::string& node, Time started, NodeState state) {
   hearsay_.node(node, started, state == NodeState::ready, state == NodeState::gone);
-  if (records_ && state != NodeState::ready)
+  if (!records_) return;
+  if (state != NodeState::ready) {
     records_->say("told").with("node", node).with("state", name_of(state));
+    told_.insert(node);
+  } else if (!hearsay_.withheld(node, started) && told_.erase(node)) {
+    records_->say("ready").with("node", node);
+  }
 }
 void Fleet::list_ends() {
   hearsay_.ends();
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -4,6 +4,7 @@
 #pragma once
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -84,6 +85,7 @@
   std::uint64_t hearsay_seen_ = 0, hearsay_now_ = 0, kept_ground_ = 0;
   Time started_at_ = 0, behind_since_ = kNever, asked_agent_at_ = 0, asked_lists_at_ = 0, noted_until_ = 0;
   std::uint64_t noted_low_ = 0, noted_high_ = 0;
+  std::set<std::string> told_;  // nodes recorded as taking nothing new
   bool in_list_ = false, pumping_ = false, left_ = false;
 };
 
--- a/src/fleet/operators.cpp
+++ b/src/fleet/operators.cpp
@@ -178,7 +178,7 @@
     e.base = b->get<std::uint64_t>();
   if (waiting_ >= kWaitingMost) return reply(r, 503, text({{"error", "too many proposals wait"}}));
   ++waiting_;
-  // The library frees the request with its connection; it is held until it is answered.
+  // The library frees it once it is answered; should its connection go before, it is left to this.
   evhttp_request_own(r);
   auto waiting = std::make_shared<Waiting>(Waiting{r, here_, this});
   fleet_.propose(std::move(e), [waiting](const std::optional<accord::Verdict>& v) {
@@ -192,7 +192,6 @@
       reply(request, 200, text({{"number", v->number}}));
     else
       reply(request, 409, text({{"refused", v->refused}}));
-    evhttp_request_free(request);
   });
 }
 
--- /dev/null
+++ b/tests/fleet/auditor.cpp
@@ -0,0 +1,129 @@
+#include "fleet/auditor.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace cairnhub::fleet {
+
+bool read_record(const std::string& line, Record& into) {
+  const auto j = nlohmann::json::parse(line, nullptr, false);
+  if (!j.is_object() || !j.contains("t") || !j.contains("who") || !j.contains("what")) return false;
+  into = {};
+  for (const auto& [key, v] : j.items()) {
+    if (key == "t")
+      into.t = v.get<std::int64_t>();
+    else if (key == "who")
+      into.who = v.get<std::string>();
+    else if (key == "what")
+      into.what = v.get<std::string>();
+    else if (v.is_string())
+      into.text[key] = v.get<std::string>();
+    else if (v.is_number_unsigned())
+      into.number[key] = v.get<std::uint64_t>();
+    else if (v.is_boolean())
+      into.number[key] = v.get<bool>() ? 1 : 0;
+  }
+  return true;
+}
+
+namespace {
+
+struct Span {
+  std::int64_t from, until;
+  std::uint64_t low, high;
+};
+
+std::int64_t longest_contradiction(const std::vector<Record>& records) {
+  std::map<std::string, std::vector<Span>> spans;
+  for (const Record& r : records) {
+    auto& mine = spans[r.who];
+    const bool ends = r.what == "lease" || r.what == "ground" || r.what == "leaves" || r.what == "starts";
+    if (ends && !mine.empty()) mine.back().until = std::min(mine.back().until, r.t);
+    if (r.what == "lease")
+      mine.push_back({r.t, static_cast<std::int64_t>(r.get("until")), r.get("low"), r.get("high")});
+  }
+  struct Edge {
+    std::int64_t t;
+    bool begins;
+    const Span* span;
+  };
+  std::vector<Edge> edges;
+  for (const auto& [who, mine] : spans)
+    for (const Span& s : mine)
+      if (s.until > s.from) edges.push_back({s.from, true, &s}), edges.push_back({s.until, false, &s});
+  std::sort(edges.begin(), edges.end(),
+            [](const Edge& a, const Edge& b) { return a.t != b.t ? a.t < b.t : a.begins < b.begins; });
+  std::multiset<std::uint64_t> lows, highs;
+  std::int64_t since = -1, longest = 0;
+  for (const Edge& e : edges) {
+    if (e.begins) {
+      lows.insert(e.span->low), highs.insert(e.span->high);
+    } else {
+      lows.erase(lows.find(e.span->low)), highs.erase(highs.find(e.span->high));
+    }
+    const bool bad = !lows.empty() && *lows.rbegin() > *highs.begin();
+    if (since >= 0) longest = std::max(longest, e.t - since);
+    if (bad && since < 0) since = e.t;
+    if (!bad) since = -1;
+  }
+  return longest;
+}
+
+}  // namespace
+
+Audit audit(const std::vector<Record>& unordered, const Known& known) {
+  std::vector<Record> records = unordered;
+  std::stable_sort(records.begin(), records.end(),
+                   [](const Record& a, const Record& b) { return a.t < b.t; });
+  Audit out;
+  out.longest_contradiction = longest_contradiction(records);
+
+  std::map<std::string, std::uint64_t> index, revision;
+  std::map<std::uint64_t, std::string> made;
+  std::set<std::string> struck;
+  // When a broker knew that a node takes nothing new; erased when its own list says otherwise later.
+  std::map<std::string, std::map<std::string, std::int64_t>> knew;
+  struct News {
+    std::int64_t first, last;
+  };
+  std::map<std::string, News> news;
+  for (const Record& r : records) {
+    if (r.what == "starts") index.erase(r.who), revision.erase(r.who), knew.erase(r.who);
+    if (r.what == "applied") {
+      if (index.count(r.who) && r.get("index") <= index[r.who]) ++out.out_of_order;
+      index[r.who] = r.get("index");
+      if (r.get("kind") == 1 && r.get("number") != 0) {
+        const auto [it, fresh] = made.try_emplace(r.get("number"), r.say("id"));
+        if (!fresh && it->second != r.say("id")) ++out.unequal;
+      }
+    }
+    if (r.what == "list") {
+      if (revision.count(r.who) && r.get("revision") < revision[r.who]) ++out.lists_back;
+      revision[r.who] = r.get("revision");
+    }
+    if (r.what == "told" || r.what == "heard") {
+      const std::string node = r.say("node");
+      knew[r.who].try_emplace(node, r.t);
+      const auto [it, fresh] = news.try_emplace(node, News{r.t, r.t});
+      if (!fresh && knew[r.who][node] == r.t) it->second.last = r.t;
+    }
+    if (r.what == "ready") knew[r.who].erase(r.say("node"));
+  }
+  for (const auto& [node, n] : news) out.slowest_news = std::max(out.slowest_news, n.last - n.first);
+  for (const Arrival& a : known.arrivals) {
+    const auto broker = knew.find(a.broker);
+    if (broker == knew.end()) continue;
+    const auto at = broker->second.find(a.node);
+    if (at == broker->second.end() || a.t <= at->second + known.grace) continue;
+    ++out.past_grace;
+    out.latest = std::max(out.latest, a.t - at->second);
+  }
+  for (const auto& [number, id] : known.accepted) {
+    const auto it = made.find(number);
+    if (it == made.end() || it->second != id) ++out.lost;
+  }
+  return out;
+}
+
+}  // namespace cairnhub::fleet
--- /dev/null
+++ b/tests/fleet/rig.cpp
@@ -0,0 +1,941 @@
+#include "fleet/rig.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <time.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "stand_ins/net.h"
+
+namespace cairnhub::fleet {
+
+namespace {
+
+namespace fs = std::filesystem;
+using stand_ins::address;
+
+constexpr int kClients = 9000, kTalk = 9100, kOperators = 9200, kAgents = 8500, kHosts = 10000,
+              kLinks = 20000;
+constexpr int kEach = 64;  // brokers or hosts, at most
+
+std::string at(int port) { return stand_ins::text(port); }
+int host_port(int broker, int host) { return kHosts + broker * kEach + host; }
+int link_port(int from, int to) { return kLinks + from * kEach + to; }
+
+std::int64_t monotonic() {
+  timespec t{};
+  clock_gettime(CLOCK_MONOTONIC, &t);
+  return t.tv_sec * 1'000'000'000LL + t.tv_nsec;
+}
+
+void after_ms(event_base* base, int ms, std::function<void()> what) {
+  const timeval tv{ms / 1000, ms % 1000 * 1000};
+  event_base_once(
+      base, -1, EV_TIMEOUT,
+      [](evutil_socket_t, short, void* p) {
+        const std::unique_ptr<std::function<void()>> f(static_cast<std::function<void()>*>(p));
+        (*f)();
+      },
+      new std::function<void()>(std::move(what)), &tv);
+}
+
+evconnlistener* listen_at(event_base* base, int port, evconnlistener_cb cb, void* self) {
+  const sockaddr_in a = address(port);
+  evconnlistener* l = evconnlistener_new_bind(
+      base, cb, self, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE, 64,
+      reinterpret_cast<const sockaddr*>(&a), sizeof a);
+  if (!l) stand_ins::give_up("no address to listen at");
+  return l;
+}
+
+std::string host_name(int h) { return "s-" + std::to_string(h); }
+
+}  // namespace
+
+// Relays what one broker sends another.
+class Link {
+ public:
+  Link(Rig& rig, int from, int to) : rig_(rig), from_(from), to_(to) {
+    fd_ = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    const sockaddr_in a = address(link_port(from, to));
+    if (bind(fd_, reinterpret_cast<const sockaddr*>(&a), sizeof a) != 0)
+      stand_ins::give_up("no address for a link");
+    readable_ = event_new(
+        rig.base_, fd_, EV_READ | EV_PERSIST,
+        [](evutil_socket_t, short, void* p) { static_cast<Link*>(p)->datagram(); }, this);
+    event_add(readable_, nullptr);
+    listener_ = listen_at(
+        rig.base_, link_port(from, to),
+        [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* p) {
+          static_cast<Link*>(p)->accepted(fd);
+        },
+        this);
+    tick_ = event_new(
+        rig.base_, -1, EV_PERSIST,
+        [](evutil_socket_t, short, void* p) { static_cast<Link*>(p)->pump_all(true); }, this);
+    const timeval tv{0, 10000};
+    event_add(tick_, &tv);
+  }
+  ~Link() {
+    streams_.clear();
+    event_free(readable_), event_free(tick_);
+    evconnlistener_free(listener_);
+    close(fd_);
+  }
+  Trouble trouble;
+
+ private:
+  struct Stream {
+    Link& link;
+    bufferevent *near, *far;
+    std::int64_t passed = 0;
+    bool near_over = false, far_over = false;
+    Stream(Link& l, bufferevent* n, bufferevent* f) : link(l), near(n), far(f) {}
+    ~Stream() { bufferevent_free(near), bufferevent_free(far); }
+  };
+  void datagram() {
+    char bytes[65536];
+    for (int i = 0; i < 64; ++i) {
+      const ssize_t n = recv(fd_, bytes, sizeof bytes, 0);
+      if (n < 0) return;
+      if (trouble.cut) continue;
+      std::uniform_real_distribution<double> unit;
+      for (int copies = unit(rig_.chance_) < trouble.twice ? 2 : 1; copies > 0; --copies) {
+        if (unit(rig_.chance_) < trouble.lose) continue;
+        const int wait =
+            trouble.delay_ms +
+            (trouble.spread_ms ? static_cast<int>(rig_.chance_() % static_cast<unsigned>(trouble.spread_ms))
+                               : 0);
+        std::string copy(bytes, static_cast<std::size_t>(n));
+        if (wait == 0)
+          forward(copy);
+        else
+          after_ms(rig_.base_, wait, [this, copy = std::move(copy)] { forward(copy); });
+      }
+    }
+  }
+  void forward(const std::string& bytes) {
+    const sockaddr_in to = address(kTalk + to_);
+    sendto(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+  }
+  void accepted(evutil_socket_t fd) {
+    evutil_make_socket_nonblocking(fd);
+    auto s = std::make_unique<Stream>(*this, bufferevent_socket_new(rig_.base_, fd, BEV_OPT_CLOSE_ON_FREE),
+                                      bufferevent_socket_new(rig_.base_, -1, BEV_OPT_CLOSE_ON_FREE));
+    const sockaddr_in to = address(kTalk + to_);
+    for (bufferevent* b : {s->near, s->far}) {
+      bufferevent_setcb(
+          b,
+          [](bufferevent*, void* p) { static_cast<Stream*>(p)->link.pump(*static_cast<Stream*>(p), false); },
+          nullptr,
+          [](bufferevent* which, short what, void* p) {
+            Stream& mine = *static_cast<Stream*>(p);
+            if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))) return;
+            (which == mine.near ? mine.near_over : mine.far_over) = true;
+          },
+          s.get());
+      bufferevent_enable(b, EV_READ | EV_WRITE);
+    }
+    bufferevent_socket_connect(s->far, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+    streams_.push_back(std::move(s));
+  }
+  void pump_all(bool tick) {
+    for (auto& s : streams_) pump(*s, tick);
+    // The end of one side ends the other once all has passed.
+    std::erase_if(streams_, [&](const auto& s) {
+      const bool broken = trouble.break_after >= 0 && s->passed >= trouble.break_after;
+      const bool over = (s->near_over && evbuffer_get_length(bufferevent_get_input(s->near)) == 0 &&
+                         evbuffer_get_length(bufferevent_get_output(s->far)) == 0) ||
+                        s->far_over;
+      return broken || over;
+    });
+  }
+  void pump(Stream& s, bool tick) {
+    move(s.near, s.far, trouble, tick, &s.passed);
+    const auto back = rig_.links_.find({to_, from_});
+    if (back != rig_.links_.end()) move(s.far, s.near, back->second->trouble, tick, nullptr);
+  }
+  static void move(bufferevent* from, bufferevent* to, const Trouble& t, bool tick, std::int64_t* passed) {
+    evbuffer* in = bufferevent_get_input(from);
+    std::size_t n = evbuffer_get_length(in);
+    if (t.cut || n == 0) return;
+    if (t.bytes_a_tick > 0) {
+      if (!tick) return;
+      n = std::min(n, static_cast<std::size_t>(t.bytes_a_tick));
+    }
+    if (passed && t.break_after >= 0)
+      n = std::min(n, static_cast<std::size_t>(std::max<std::int64_t>(0, t.break_after - *passed)));
+    evbuffer_remove_buffer(in, bufferevent_get_output(to), n);
+    if (passed) *passed += static_cast<std::int64_t>(n);
+  }
+
+  Rig& rig_;
+  int from_, to_, fd_;
+  event *readable_, *tick_;
+  evconnlistener* listener_;
+  std::vector<std::unique_ptr<Stream>> streams_;
+};
+
+// An agent of discovery on a broker's machine: tells what it holds, or nothing.
+class Agent {
+ public:
+  Agent(Rig& rig, int broker) : rig_(rig) {
+    listener_ = listen_at(
+        rig.base_, kAgents + broker,
+        [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* p) {
+          static_cast<Agent*>(p)->accepted(fd);
+        },
+        this);
+    const timeval tv{0, 20000};
+    tick_ = event_new(
+        rig.base_, -1, EV_PERSIST,
+        [](evutil_socket_t, short, void* p) { static_cast<Agent*>(p)->answer_due(); }, this);
+    event_add(tick_, &tv);
+    broker_ = broker;
+  }
+  ~Agent() {
+    open_.clear();
+    event_free(tick_);
+    evconnlistener_free(listener_);
+  }
+  std::uint64_t holds = 1;
+  bool silent = false;
+  void answer_due() {
+    const std::int64_t now = monotonic();
+    for (auto& c : open_)
+      if (c->asked && !silent && (c->since != holds || now >= c->until)) {
+        const std::string body = rig_.list_for(broker_, holds);
+        const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
+                                 std::to_string(body.size()) + "\r\n\r\n";
+        bufferevent_write(c->bev, head.data(), head.size());
+        bufferevent_write(c->bev, body.data(), body.size());
+        c->asked = false;
+      }
+    std::erase_if(open_, [](const auto& c) { return c->over; });
+  }
+
+ private:
+  struct Connection {
+    Agent& agent;
+    bufferevent* bev;
+    bool asked = false, over = false;
+    std::uint64_t since = UINT64_MAX;
+    std::int64_t until = 0;
+    Connection(Agent& a, bufferevent* b) : agent(a), bev(b) {}
+    ~Connection() { bufferevent_free(bev); }
+  };
+  void accepted(evutil_socket_t fd) {
+    evutil_make_socket_nonblocking(fd);
+    open_.push_back(
+        std::make_unique<Connection>(*this, bufferevent_socket_new(rig_.base_, fd, BEV_OPT_CLOSE_ON_FREE)));
+    Connection* c = open_.back().get();
+    bufferevent_setcb(
+        c->bev,
+        [](bufferevent* b, void* p) {
+          Connection& mine = *static_cast<Connection*>(p);
+          evbuffer* in = bufferevent_get_input(b);
+          const evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, nullptr);
+          if (end.pos < 0) return;
+          std::string head(static_cast<std::size_t>(end.pos), '\0');
+          evbuffer_remove(in, head.data(), head.size());
+          evbuffer_drain(in, 4);
+          const auto s = head.find("since=");
+          const auto t = head.find("timeout_ms=");
+          mine.since = s == std::string::npos ? UINT64_MAX : std::strtoull(head.c_str() + s + 6, nullptr, 10);
+          mine.until =
+              monotonic() + (t == std::string::npos ? 0 : std::atoll(head.c_str() + t + 11)) * 1'000'000;
+          mine.asked = true;
+          mine.agent.answer_due();
+        },
+        nullptr, [](bufferevent*, short, void* p) { static_cast<Connection*>(p)->over = true; }, c);
+    bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+  }
+  Rig& rig_;
+  int broker_ = 0;
+  evconnlistener* listener_;
+  event* tick_;
+  std::vector<std::unique_ptr<Connection>> open_;
+};
+
+// A register host, reached by each broker at an address of its own.
+class Host {
+ public:
+  Host(Rig& rig, int number, int brokers) : rig_(rig), number_(number) {
+    for (int b = 0; b < brokers; ++b) {
+      doors_.push_back(std::make_unique<Door>(Door{*this, b, nullptr}));
+      doors_.back()->listener = listen_at(
+          rig.base_, host_port(b, number),
+          [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* p) {
+            Door& d = *static_cast<Door*>(p);
+            d.host.accepted(fd, d.broker);
+          },
+          doors_.back().get());
+    }
+  }
+  ~Host() {
+    open_.clear();
+    for (auto& d : doors_) evconnlistener_free(d->listener);
+  }
+
+ private:
+  struct Door {
+    Host& host;
+    int broker;
+    evconnlistener* listener;
+  };
+  struct Connection {
+    Host& host;
+    int broker;
+    bufferevent* bev;
+    ~Connection() { bufferevent_free(bev); }
+  };
+  void accepted(evutil_socket_t fd, int broker) {
+    evutil_make_socket_nonblocking(fd);
+    open_.push_back(std::unique_ptr<Connection>(
+        new Connection{*this, broker, bufferevent_socket_new(rig_.base_, fd, BEV_OPT_CLOSE_ON_FREE)}));
+    Connection* c = open_.back().get();
+    bufferevent_setcb(
+        c->bev,
+        [](bufferevent*, void* p) { static_cast<Connection*>(p)->host.read(*static_cast<Connection*>(p)); },
+        nullptr,
+        [](bufferevent*, short, void* p) {
+          Connection* mine = static_cast<Connection*>(p);
+          Host& h = mine->host;
+          std::erase_if(h.open_, [&](const auto& o) { return o.get() == mine; });
+        },
+        c);
+    bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+  }
+  void read(Connection& c) {
+    evbuffer* in = bufferevent_get_input(c.bev);
+    while (evbuffer_get_length(in) >= 4) {
+      unsigned char l[4];
+      evbuffer_copyout(in, l, 4);
+      const std::size_t n = l[0] | l[1] << 8 | l[2] << 16 | static_cast<std::size_t>(l[3]) << 24;
+      if (evbuffer_get_length(in) < 4 + n) return;
+      evbuffer_drain(in, 4);
+      std::string frame(n, '\0');
+      evbuffer_remove(in, frame.data(), n);
+      if (frame.empty() || frame[0] != 'A') continue;
+      for (std::size_t at_byte = 1; at_byte < frame.size();) {
+        const auto end = frame.find('\n', at_byte);
+        std::istringstream line(frame.substr(at_byte, end - at_byte));
+        std::string name, shard, wait;
+        std::size_t length = 0;
+        line >> name >> shard >> wait >> length;
+        at_byte = end + 1 + length;
+        rig_.known_.arrivals.push_back({monotonic(), "b" + std::to_string(c.broker), host_name(number_)});
+        ++rig_.parts_[host_name(number_) + " b" + std::to_string(c.broker)];
+        const std::string answer = stand_ins::framed('E', name + " hit 7 -\nvalue");
+        bufferevent_write(c.bev, answer.data(), answer.size());
+      }
+    }
+  }
+  Rig& rig_;
+  int number_;
+  std::vector<std::unique_ptr<Door>> doors_;
+  std::vector<std::unique_ptr<Connection>> open_;
+};
+
+// A client at one broker: one request after the other, for as long as the play lasts.
+class Caller {
+ public:
+  Caller(Rig& rig, int broker, int number) : rig_(rig), broker_(broker), number_(number) { connect(); }
+  ~Caller() {
+    *here_ = false;
+    if (bev_) bufferevent_free(bev_);
+  }
+
+ private:
+  void later(int ms, void (Caller::*what)()) {
+    after_ms(rig_.base_, ms, [this, here = here_, what] {
+      if (*here) (this->*what)();
+    });
+  }
+  void connect() {
+    const sockaddr_in a = address(kClients + broker_);
+    bev_ = bufferevent_socket_new(rig_.base_, -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(
+        bev_, [](bufferevent*, void* p) { static_cast<Caller*>(p)->read(); }, nullptr,
+        [](bufferevent*, short what, void* p) {
+          Caller& me = *static_cast<Caller*>(p);
+          if (what & BEV_EVENT_CONNECTED) return me.ask();
+          if (std::exchange(me.waits_, false)) ++rig_unanswered(me);
+          bufferevent_free(std::exchange(me.bev_, nullptr));
+          me.later(20, &Caller::connect);
+        },
+        this);
+    bufferevent_enable(bev_, EV_READ | EV_WRITE);
+    bufferevent_socket_connect(bev_, reinterpret_cast<const sockaddr*>(&a), sizeof a);
+  }
+  static std::uint64_t& rig_unanswered(Caller& c) { return c.rig_.unanswered_; }
+  void ask() {
+    if (!bev_ || waits_) return;
+    const int hosts = static_cast<int>(rig_.script_.hosts());
+    std::set<int> shards;
+    while (static_cast<int>(shards.size()) < std::min(3, hosts))
+      shards.insert(static_cast<int>(rig_.chance_() % static_cast<unsigned>(hosts)));
+    std::string list;
+    for (const int s : shards)
+      list += (list.empty() ? "" : ",") + std::string("{\"bucket\":") + std::to_string(s) +
+              ",\"part\":" + std::to_string(1.0 / static_cast<double>(shards.size())) + "}";
+    const std::string body = "{\"buckets\":[" + list + "],\"body\":\"c41e\"}";
+    const std::string request =
+        "POST /all HTTP/1.1\r\nHost: x\r\nX-Txn: c" + std::to_string(broker_) + "-" +
+        std::to_string(number_) + "-" + std::to_string(++asked_) +
+        "\r\nX-Lane: all\r\nX-Org: a\r\nX-Remaining: 5\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n\r\n" + body;
+    waits_ = true;
+    bufferevent_write(bev_, request.data(), request.size());
+  }
+  void read() {
+    evbuffer* in = bufferevent_get_input(bev_);
+    for (;;) {
+      const evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, nullptr);
+      if (end.pos < 0) return;
+      std::string head(static_cast<std::size_t>(end.pos), '\0');
+      evbuffer_copyout(in, head.data(), head.size());
+      const auto l = head.find("Content-Length: ");
+      const std::size_t n = l == std::string::npos ? 0 : std::strtoul(head.c_str() + l + 16, nullptr, 10);
+      if (evbuffer_get_length(in) < static_cast<std::size_t>(end.pos) + 4 + n) return;
+      evbuffer_drain(in, static_cast<std::size_t>(end.pos) + 4 + n);
+      if (!std::exchange(waits_, false)) {
+        ++rig_.doubled_;  // an answer to nothing
+        continue;
+      }
+      ++rig_.answered_;
+      const std::string status = head.substr(9, 3);
+      if (status == "200")
+        ++rig_.whole_;
+      else if (status == "503")
+        ++rig_.pushed_back_;
+      else
+        ++rig_.failed_;
+      if (head.find("Connection: close") != std::string::npos) {
+        bufferevent_free(std::exchange(bev_, nullptr));
+        later(20, &Caller::connect);
+        return;
+      }
+      later(4, &Caller::ask);
+    }
+  }
+  Rig& rig_;
+  int broker_, number_;
+  bufferevent* bev_ = nullptr;
+  bool waits_ = false;
+  std::uint64_t asked_ = 0;
+  std::shared_ptr<bool> here_ = std::make_shared<bool>(true);
+};
+
+Rig::Rig(const std::string& program, const Script& script)
+    : program_(program),
+      script_(script),
+      base_(event_base_new()),
+      chance_(static_cast<std::mt19937::result_type>(script.seed())) {
+  std::signal(SIGPIPE, SIG_IGN);
+  char made[] = "/tmp/cairnhub-fleet-XXXXXX";
+  folder_ = mkdtemp(made);
+  std::ofstream(folder_ + "/key") << "1 " << std::string(64, 'a') << "\n";
+  const int n = static_cast<int>(script.brokers()), hosts = static_cast<int>(script.hosts());
+  catalogue_[1] = {std::vector<std::string>(static_cast<std::size_t>(hosts), "in_service"),
+                   std::vector<std::uint64_t>(static_cast<std::size_t>(hosts), 0)};
+  for (int h = 0; h < hosts; ++h) hosts_.push_back(std::make_unique<Host>(*this, h, n));
+  for (int i = 0; i < n; ++i) {
+    agents_.push_back(std::make_unique<Agent>(*this, i));
+    for (int j = 0; j < n; ++j)
+      if (i != j) links_[{i, j}] = std::make_unique<Link>(*this, i, j);
+  }
+  std::string classes;
+  for (const char* op : {"all", "any"})
+    classes += std::string(classes.empty() ? "" : ",") + R"({"name":")" + op +
+               R"(","promise":2,"deadline":5,"late-share":0.5,"effect":"free"})";
+  for (int i = 0; i < n; ++i) {
+    brokers_.push_back(std::make_unique<Broker>());
+    Broker& b = *brokers_.back();
+    b.number = i, b.name = "b" + std::to_string(i), b.folder = folder_ + "/" + b.name;
+    fs::create_directory(b.folder);
+    fs::create_directory(b.folder + "/store");
+    std::ofstream(b.folder + "/config.json")
+        << R"({"listen":")" << at(kClients + i) << R"(","discovery":")" << at(kAgents + i)
+        << R"(","seed":"00000000000000)" << std::hex << 16 + i << std::dec
+        << R"(","limits":{"cores":1.0,"memory_mb":192,"sockets":256},"settings":{"balancers":)" << n
+        << R"(,"ceilings":{"cancel":true,"connect-timeout":0.25,"keepalive":15,"max-retry-after":0.5,"multiplex":64,)"
+        << R"("retry-after":true,"second-copies":true,"try-limit":3},"classes":[)" << classes
+        << R"(],"family-info":{"min-share":[1,0.5],"need-by-class":[1,0.5],"parts-a-call":1,"positions":)"
+        << hosts << R"(,"ranges":)" << hosts << R"(,"width":)" << std::min(3, hosts)
+        << R"(},"rules":{"cold":1,"cold-from":0.2,"fall-multiple":2,"overload-for":2},"tick":0.005}})";
+    if (script.alone()) continue;
+    std::ofstream o(b.folder + "/options.txtpb");
+    o << "fleet {\n  name: \"" << b.name << "\"\n  listen: \"" << at(kTalk + i) << "\"\n  key_file: \""
+      << folder_ << "/key\"\n  operators: \"" << at(kOperators + i) << "\"\n  records: \"" << b.folder
+      << "/records.jsonl\"\n"
+      << "  probe_ms: " << script.probe_ms() << "\n  answer_within_ms: " << script.probe_ms() / 2 << "\n";
+    for (int j = 0; j < n; ++j)
+      if (j != i) o << "  peer { name: \"b" << j << "\" address: \"" << at(link_port(i, j)) << "\" }\n";
+    if (script.voters() > 0) {
+      o << "  accord {\n    stated_time_ms: " << script.stated_ms()
+        << "\n    replace_voter_after_ms: " << script.replace_ms() << "\n    start_wait_ms: 4000\n";
+      for (unsigned v = 0; v < script.voters(); ++v) o << "    voter: \"b" << v << "\"\n";
+      if (i < static_cast<int>(script.voters() + script.folders()))
+        o << "    folder: \"" << b.folder << "/store\"\n";
+      o << "  }\n";
+    }
+    o << "}\n";
+    o.close();
+    if (i < static_cast<int>(script.voters())) {
+      const std::string run = program_ + " accord init --options " + b.folder + "/options.txtpb > /dev/null";
+      if (std::system(run.c_str()) != 0) stand_ins::give_up("accord init fails");
+    }
+  }
+}
+
+Rig::~Rig() {
+  for (auto& b : brokers_)
+    if (b->pid > 0) kill(b->pid, SIGKILL), waitpid(b->pid, nullptr, 0);
+  callers_.clear();
+  links_.clear();
+  agents_.clear();
+  hosts_.clear();
+  event_base_free(base_);
+  if (!std::getenv("KEEP_FLEET")) {
+    std::error_code ignored;
+    fs::remove_all(folder_, ignored);
+  }
+}
+
+std::string Rig::list_for(int broker, std::uint64_t revision) const {
+  const State& s = catalogue_.at(revision);
+  std::string members;
+  for (std::size_t h = 0; h < s.phase.size(); ++h) {
+    if (s.phase[h] == "absent") continue;
+    members += (members.empty() ? "" : ",") + std::string("{\"id\":\"") + host_name(static_cast<int>(h)) +
+               "\",\"host_port\":\"" + at(host_port(broker, static_cast<int>(h))) +
+               "\",\"locality\":\"a\",\"flavor\":\"m\",\"cell\":" + std::to_string(h) + ",\"phase\":\"" +
+               s.phase[h] + "\",\"size\":1.0,\"up_since_ms\":" + std::to_string(s.up[h]) + "}";
+  }
+  return "{\"revision\":" + std::to_string(revision) + ",\"complete\":true,\"members\":[" + members + "]}";
+}
+
+void Rig::start(Broker& b) {
+  if (b.pid > 0) return;
+  b.pid = fork();
+  if (b.pid == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (b.full) {  // as a disk that takes no more
+      std::signal(SIGXFSZ, SIG_IGN);
+      const rlimit most{static_cast<rlim_t>(fs::file_size(b.folder + "/store/accord.db")), RLIM_INFINITY};
+      setrlimit(RLIMIT_FSIZE, &most);
+    }
+    setenv("RELAY_CONFIG", (b.folder + "/config.json").c_str(), 1);
+    if (!script_.alone()) setenv("CAIRNHUB_OPTIONS", (b.folder + "/options.txtpb").c_str(), 1);
+    const int log = open((b.folder + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    dup2(log, STDERR_FILENO);
+    execl(program_.c_str(), "cairnhub", "serve", nullptr);
+    _exit(127);
+  }
+  b.low = b.high = 0, b.until = 0, b.grounded = true, b.revision = 0;
+  b.alive.clear(), b.withheld.clear();
+}
+
+void Rig::stop(Broker& b, int signal) {
+  if (b.pid <= 0) return;
+  kill(b.pid, signal);
+  if (signal != SIGKILL) return;
+  waitpid(b.pid, nullptr, 0);
+  b.pid = 0, b.stopped = false;
+}
+
+void Rig::took(Broker& b, const Record& r) {
+  ++b.seen[r.what];
+  if (r.what == "starts") ++b.lives;
+  if (r.what == "lease")
+    b.low = r.get("low"), b.high = r.get("high"), b.until = static_cast<std::int64_t>(r.get("until")),
+    b.grounded = false;
+  if (r.what == "ground" || r.what == "leaves") b.low = b.high = 0, b.until = 0, b.grounded = true;
+  if (r.what == "keeps") b.ground = r.get("ground");
+  if (r.what == "list") b.revision = r.get("revision");
+  if (r.what == "told" || r.what == "heard") b.withheld.insert(r.say("node"));
+  if (r.what == "ready") b.withheld.erase(r.say("node"));
+  if (r.what == "peer") {
+    if (r.say("to") == "alive" || r.say("to") == "suspect")
+      b.alive.insert(r.say("name"));
+    else
+      b.alive.erase(r.say("name"));
+  }
+}
+
+void Rig::read_records() {
+  for (auto& b : brokers_) {
+    std::ifstream in(b->folder + "/records.jsonl", std::ios::binary);
+    if (!in) continue;
+    in.seekg(b->read);
+    std::string more{std::istreambuf_iterator<char>(in), {}};
+    b->read += static_cast<long>(more.size());
+    b->unread += more;
+    std::size_t from = 0;
+    for (std::size_t end; (end = b->unread.find('\n', from)) != std::string::npos; from = end + 1) {
+      Record r;
+      if (!read_record(b->unread.substr(from, end - from), r)) continue;
+      took(*b, r);
+      records_.push_back(std::move(r));
+    }
+    b->unread.erase(0, from);
+  }
+  for (auto& b : brokers_) {
+    int status = 0;
+    if (b->pid > 0 && waitpid(b->pid, &status, WNOHANG) == b->pid) b->pid = 0;
+  }
+}
+
+void Rig::run_for(int ms) {
+  const timeval tv{ms / 1000, ms % 1000 * 1000};
+  event_base_loopexit(base_, &tv);
+  event_base_dispatch(base_);
+}
+
+bool Rig::await(const std::function<bool()>& holds, const char* what, int patience_ms) {
+  for (int waited = 0; waited <= patience_ms; waited += 5) {
+    read_records();
+    if (holds()) return true;
+    run_for(5);
+  }
+  std::printf("NEVER CAME: %s\n", what);
+  if (std::getenv("SHOW"))
+    for (const auto& b : brokers_)
+      std::printf("  %s pid %d low %llu high %llu alive %zu revision %llu lives %d grounded %d\n",
+                  b->name.c_str(), b->pid, static_cast<unsigned long long>(b->low),
+                  static_cast<unsigned long long>(b->high), b->alive.size(),
+                  static_cast<unsigned long long>(b->revision), b->lives, b->grounded);
+  return false;
+}
+
+bool Rig::settled(std::uint64_t least, const std::vector<int>& who) const {
+  std::uint64_t n = 0;
+  for (const int i : who) {
+    const Broker& b = *brokers_[static_cast<std::size_t>(i)];
+    if (b.pid <= 0 || b.low == 0 || b.low != b.high || b.low < least || b.until < monotonic() ||
+        (n && b.low != n))
+      return false;
+    n = b.low;
+  }
+  return true;
+}
+
+std::string Rig::asked(int broker, const std::string& args) const {
+  std::FILE* p = popen(
+      (program_ + " " + args + " --json --at " + at(kOperators + broker) + " 2>/dev/null").c_str(), "r");
+  std::string all;
+  char some[4096];
+  for (std::size_t n; p && (n = std::fread(some, 1, sizeof some, p)) > 0;) all.append(some, n);
+  if (p) pclose(p);
+  return all;
+}
+
+int Rig::leader() const {
+  for (const auto& b : brokers_) {
+    if (b->pid <= 0 || b->stopped) continue;
+    const auto j = nlohmann::json::parse(asked(b->number, "accord status"), nullptr, false);
+    if (j.is_object() && j.value("leads", false)) return b->number;
+  }
+  return -1;
+}
+
+std::vector<int> Rig::of(const google::protobuf::RepeatedField<std::uint32_t>& list, const Step& s) const {
+  std::vector<int> out(list.begin(), list.end());
+  if (s.leader() && &list == &s.at()) {
+    const int l = leader();
+    if (l >= 0) out.push_back(l);
+  }
+  if (out.empty())
+    for (const auto& b : brokers_) out.push_back(b->number);
+  return out;
+}
+
+void Rig::trouble(const Step& s, const std::function<void(Trouble&)>& change) {
+  const std::vector<int> from = of(s.at(), s), to = of(s.to(), s);
+  for (const int i : from)
+    for (const int j : to)
+      if (i != j && (s.to_size() > 0 || std::find(from.begin(), from.end(), j) == from.end() ||
+                     from.size() == brokers_.size()))
+        change(links_.at({i, j})->trouble);
+}
+
+// `cairnhub accord ...` as an operator would; what stands after a bar is a file of rules.
+bool Rig::command(const Step& s) {
+  std::string args = s.text(), rules;
+  if (const auto bar = args.find('|'); bar != std::string::npos) {
+    rules = args.substr(bar + 1);
+    args = args.substr(0, bar);
+    const std::string file = folder_ + "/rules-" + std::to_string(++proposals_) + ".txtpb";
+    std::ofstream(file) << rules;
+    args += " " + file;
+  }
+  const int who = of(s.at(), s).front();
+  const std::string shown = s.text();
+  const std::string run = program_ + " " + args + " --at " + at(kOperators + who) + " 2>&1; echo exit $?";
+  const std::string out_file = folder_ + "/command-" + std::to_string(++proposals_);
+  const pid_t pid = fork();
+  if (pid == 0) {
+    const int out = open(out_file.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    dup2(out, STDOUT_FILENO);
+    execl("/bin/sh", "sh", "-c", run.c_str(), nullptr);
+    _exit(127);
+  }
+  int status = 0;
+  if (!await([&] { return waitpid(pid, &status, WNOHANG) == pid; }, "the end of a command", 30000)) {
+    kill(pid, SIGKILL);
+    waitpid(pid, nullptr, 0);
+    return false;
+  }
+  std::ifstream in(out_file);
+  std::string all{std::istreambuf_iterator<char>(in), {}};
+  for (std::size_t p; (p = all.find(folder_)) != std::string::npos;) all.replace(p, folder_.size(), "FOLDER");
+  for (int i = 0; i < static_cast<int>(brokers_.size()); ++i)
+    for (std::size_t p; (p = all.find(at(kOperators + i))) != std::string::npos;)
+      all.replace(p, at(kOperators + i).size(), "OPERATORS" + std::to_string(i));
+  std::printf("  cairnhub %s\n", shown.c_str());
+  std::istringstream lines(all);
+  for (std::string line; std::getline(lines, line);) std::printf("    %s\n", line.c_str());
+  unsigned long long number = 0;
+  if (std::sscanf(all.c_str(), "taken as %llu", &number) == 1 && args.find("--ground") == std::string::npos)
+    if (const auto id = args.find("--id "); id != std::string::npos) {
+      const auto from = id + 5;
+      known_.accepted[number] = args.substr(from, args.find(' ', from) - from);
+    }
+  return true;
+}
+
+void Rig::report() {
+  const Audit a = audit(records_, known_);
+  const std::int64_t stated = static_cast<std::int64_t>(script_.stated_ms()) * 1'000'000;
+  if (std::getenv("SHOW"))
+    std::printf(
+        "  [contradiction %.3f ms, latest part %.3f ms, news %.3f ms, answered %llu whole %llu pushed back "
+        "%llu failed %llu unanswered %llu]\n",
+        static_cast<double>(a.longest_contradiction) / 1e6, static_cast<double>(a.latest) / 1e6,
+        static_cast<double>(a.slowest_news) / 1e6, static_cast<unsigned long long>(answered_),
+        static_cast<unsigned long long>(whole_), static_cast<unsigned long long>(pushed_back_),
+        static_cast<unsigned long long>(failed_), static_cast<unsigned long long>(unanswered_));
+  if (script_.voters() > 0)
+    std::printf(
+        "audit: contradicting versions for longer than the stated time: %s; none at all: %s; out of order "
+        "%d, "
+        "unequal %d, lost %d\n",
+        a.longest_contradiction > stated ? "YES" : "no", a.longest_contradiction == 0 ? "yes" : "NO",
+        a.out_of_order, a.unequal, a.lost);
+  std::printf(
+      "audit: lists back %d, parts past the grace %d; answers to nothing %llu, failed %llu; served: %s\n",
+      a.lists_back, a.past_grace, static_cast<unsigned long long>(doubled_),
+      static_cast<unsigned long long>(failed_), whole_ > 100 ? "yes" : "NO");
+}
+
+bool Rig::step(const Step& s) {
+  if (s.has_say()) std::printf("%s\n", s.say().c_str());
+  const std::string& verb = s.do_();
+  const std::vector<int> at_brokers = s.has_do_() ? of(s.at(), s) : std::vector<int>{};
+  const auto each = [&](const std::function<void(Broker&)>& what) {
+    for (const int i : at_brokers) what(*brokers_[static_cast<std::size_t>(i)]);
+  };
+  const auto newest = [&] { return catalogue_.rbegin()->first; };
+  const auto every = [&](const std::function<bool(const Broker&)>& holds) {
+    return std::all_of(at_brokers.begin(), at_brokers.end(),
+                       [&](int i) { return holds(*brokers_[static_cast<std::size_t>(i)]); });
+  };
+  const auto publish = [&](const std::string& phase, bool restarted) {
+    State next = catalogue_.rbegin()->second;
+    next.phase[s.host()] = phase;
+    if (restarted) {
+      timespec t{};
+      clock_gettime(CLOCK_REALTIME, &t);
+      next.up[s.host()] =
+          static_cast<std::uint64_t>(t.tv_sec) * 1000 + static_cast<std::uint64_t>(t.tv_nsec / 1000000);
+    }
+    catalogue_[newest() + 1] = next;
+    for (const int i : at_brokers) {
+      Agent& a = *agents_[static_cast<std::size_t>(i)];
+      if (!a.silent) a.holds = newest(), a.answer_due();
+    }
+  };
+  if (verb.empty()) return true;
+  if (verb == "start") return each([&](Broker& b) { start(b); }), true;
+  if (verb == "kill") return each([&](Broker& b) { stop(b, SIGKILL); }), true;
+  if (verb == "term") {
+    each([&](Broker& b) { stop(b, SIGTERM); });
+    return await([&] { return every([](const Broker& b) { return b.pid == 0; }); }, "the end of a broker");
+  }
+  if (verb == "stand") return each([&](Broker& b) { stop(b, SIGSTOP), b.stopped = true; }), true;
+  if (verb == "go_on") return each([&](Broker& b) { stop(b, SIGCONT), b.stopped = false; }), true;
+  if (verb == "wipe") {
+    return each([&](Broker& b) {
+             fs::remove_all(b.folder + "/store"), fs::create_directory(b.folder + "/store");
+           }),
+           true;
+  }
+  if (verb == "flip")  // one bit of what the store holds of `text`
+    return each([&](Broker& b) {
+             const std::string file = b.folder + "/store/accord.db";
+             std::ifstream in(file, std::ios::binary);
+             std::string all{std::istreambuf_iterator<char>(in), {}};
+             const auto place = all.find(s.text());
+             if (place == std::string::npos)
+               return static_cast<void>(std::printf("NOT in the store: %s\n", s.text().c_str()));
+             all[place] = static_cast<char>(all[place] ^ 16);
+             std::ofstream(file, std::ios::binary) << all;
+           }),
+           true;
+  if (verb == "short") {  // the store cut off after n thousandths of it
+    return each([&](Broker& b) {
+             const auto size = fs::file_size(b.folder + "/store/accord.db");
+             fs::resize_file(b.folder + "/store/accord.db", size * s.n() / 1000);
+           }),
+           true;
+  }
+  if (verb == "full") return each([&](Broker& b) { b.full = s.n() != 0; }), true;
+  if (verb == "cut") {
+    trouble(s, [](Trouble& t) { t.cut = true; });
+    const std::vector<int> to = of(s.to(), s);
+    for (const int i : at_brokers)
+      for (const int j : s.to_size() ? to : of({}, s))
+        if (i != j && (s.to_size() || std::find(at_brokers.begin(), at_brokers.end(), j) == at_brokers.end()))
+          links_.at({j, i})->trouble.cut = true;
+    return true;
+  }
+  if (verb == "cut_one_way") return trouble(s, [](Trouble& t) { t.cut = true; }), true;
+  if (verb == "heal") {
+    for (auto& [pair, link] : links_) link->trouble = Trouble{};
+    return true;
+  }
+  if (verb == "lose") return trouble(s, [&](Trouble& t) { t.lose = static_cast<double>(s.n()) / 100; }), true;
+  if (verb == "twice")
+    return trouble(s, [&](Trouble& t) { t.twice = static_cast<double>(s.n()) / 100; }), true;
+  if (verb == "delay") return trouble(s, [&](Trouble& t) { t.delay_ms = static_cast<int>(s.n()); }), true;
+  if (verb == "reorder") return trouble(s, [&](Trouble& t) { t.spread_ms = static_cast<int>(s.n()); }), true;
+  if (verb == "trickle")
+    return trouble(s, [&](Trouble& t) { t.bytes_a_tick = static_cast<int>(s.n()); }), true;
+  if (verb == "break_after")
+    return trouble(s, [&](Trouble& t) { t.break_after = static_cast<std::int64_t>(s.n()); }), true;
+  if (verb == "silent")
+    return each([&](Broker& b) { agents_[static_cast<std::size_t>(b.number)]->silent = true; }), true;
+  if (verb == "speak") {
+    return each([&](Broker& b) {
+             Agent& a = *agents_[static_cast<std::size_t>(b.number)];
+             a.silent = false, a.holds = newest(), a.answer_due();
+           }),
+           true;
+  }
+  if (verb == "lag") {  // goes back to an older revision, and says so
+    return each([&](Broker& b) {
+             Agent& a = *agents_[static_cast<std::size_t>(b.number)];
+             a.silent = false, a.holds = s.n(), a.answer_due();
+           }),
+           true;
+  }
+  if (verb == "drain") return publish("terminating", false), true;
+  if (verb == "gone") return publish("absent", false), true;
+  if (verb == "ready") return publish("in_service", s.n() != 0), true;
+  if (verb == "await_lists")
+    return await([&] { return every([&](const Broker& b) { return b.revision == newest(); }); },
+                 "the newest list");
+  if (verb == "await_known")
+    return await(
+        [&] {
+          return every(
+              [&](const Broker& b) { return b.withheld.count(host_name(static_cast<int>(s.host()))) != 0; });
+        },
+        "what takes nothing new");
+  if (verb == "await_in_use")
+    return await(
+        [&] {
+          return every(
+              [&](const Broker& b) { return b.withheld.count(host_name(static_cast<int>(s.host()))) == 0; });
+        },
+        "its return to use");
+  if (verb == "await_alive")
+    return await([&] { return every([&](const Broker& b) { return b.alive.size() == s.n(); }); },
+                 "who is alive");
+  if (verb == "await_settled") return await([&] { return settled(s.n(), at_brokers); }, "all on one version");
+  if (verb == "await_ground")
+    return await([&] { return every([&](const Broker& b) { return b.grounded || b.until < monotonic(); }); },
+                 "the ground");
+  if (verb == "await_kept")
+    return await([&] { return every([&](const Broker& b) { return b.ground >= s.n(); }); },
+                 "the new ground at all");
+  if (verb == "await_votes")  // each votes, and n do in all, none on its way in or out
+    return await(
+        [&] {
+          return every([&](const Broker& b) {
+            const auto j = nlohmann::json::parse(asked(b.number, "accord status"), nullptr, false);
+            if (!j.is_object() || !j.value("votes", false) || j["voters"].size() != s.n()) return false;
+            for (const auto& v : j["voters"])
+              if (!v.value("votes", false)) return false;
+            return true;
+          });
+        },
+        "its vote");
+  if (verb == "await_leader") return await([&] { return leader() >= 0; }, "a leader");
+  if (verb == "await_record") {  // n more of the kind that text names than at the last look
+    std::map<int, int> had;
+    for (const int i : at_brokers) had[i] = brokers_[static_cast<std::size_t>(i)]->seen[s.text()];
+    return await(
+        [&] {
+          return every([&](const Broker& b) {
+            const auto it = b.seen.find(s.text());
+            return it != b.seen.end() && it->second >= static_cast<int>(s.n());
+          });
+        },
+        s.text().c_str());
+  }
+  if (verb == "load") {  // until so many more were answered
+    before_answered_ = answered_;
+    return await([&] { return answered_ >= before_answered_ + s.n(); }, "answers");
+  }
+  if (verb == "wait_ms") return run_for(static_cast<int>(s.n())), true;
+  if (verb == "callers") {
+    for (const int i : at_brokers)
+      for (unsigned c = 0; c < script_.load(); ++c)
+        callers_.push_back(std::make_unique<Caller>(*this, i, static_cast<int>(callers_.size())));
+    return true;
+  }
+  if (verb == "mark") return parts_.clear(), true;
+  if (verb == "parts") {
+    for (const int i : at_brokers)
+      std::printf(
+          "  %s sent %s %s\n", ("b" + std::to_string(i)).c_str(),
+          host_name(static_cast<int>(s.host())).c_str(),
+          parts_[host_name(static_cast<int>(s.host())) + " b" + std::to_string(i)] > 0 ? "parts" : "nothing");
+    return true;
+  }
+  if (verb == "refused") {  // whether anything was pushed back since the last look
+    std::printf("  pushed back: %s\n", std::exchange(pushed_back_, 0) > 0 ? "some" : "none");
+    return true;
+  }
+  if (verb == "run") return command(s);
+  if (verb == "audit") return report(), true;
+  std::printf("no such verb: %s\n", verb.c_str());
+  return false;
+}
+
+bool Rig::play() {
+  for (const Step& s : script_.step()) {
+    if (!step(s)) return false;
+    std::fflush(stdout);
+  }
+  read_records();
+  return true;
+}
+
+}  // namespace cairnhub::fleet
--- /dev/null
+++ b/tests/fleet/rig.h
@@ -0,0 +1,105 @@
+// Several processes of the program with hosts, an agent of discovery each, clients, and a link between each
+// two of them, all on loopback and on one event loop. Plays a script; steps wait for what the processes
+// record, not for time. No privileges: links are relays in user space, whose addresses the brokers' options
+// state.
+#pragma once
+#include <event2/event.h>
+#include <sys/types.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fleet/auditor.h"
+#include "script.pb.h"
+
+namespace cairnhub::fleet {
+
+// What the link from one broker to another does to what passes.
+struct Trouble {
+  bool cut = false;
+  int delay_ms = 0, spread_ms = 0;  // each datagram by itself: with a spread they overtake each other
+  double lose = 0, twice = 0;       // of datagrams
+  int bytes_a_tick = 0;             // of streams, each 10 ms; 0: all
+  std::int64_t break_after = -1;    // bytes of a stream, then it is reset
+};
+
+class Link;
+class Agent;
+class Host;
+class Caller;
+
+class Rig {
+ public:
+  Rig(const std::string& program, const Script& script);
+  ~Rig();
+  // Plays it all and prints what its steps say; false where something awaited never came.
+  bool play();
+
+ private:
+  friend class Link;
+  friend class Agent;
+  friend class Host;
+  friend class Caller;
+
+  struct Broker {
+    int number = 0;
+    std::string name, folder;
+    pid_t pid = 0;
+    bool stopped = false;
+    std::string unread;  // of its records
+    long read = 0;
+    bool full = false;  // its files may grow no further
+    // As its records tell.
+    std::uint64_t low = 0, high = 0, revision = 0, ground = 0;
+    std::int64_t until = 0;
+    std::set<std::string> alive, withheld;
+    bool grounded = true;
+    int lives = 0;
+    std::map<std::string, int> seen;  // records by kind
+  };
+  bool step(const Step& s);
+  bool await(const std::function<bool()>& holds, const char* what, int patience_ms = 20000);
+  void run_for(int ms);
+  void read_records();
+  void took(Broker& b, const Record& r);
+  void start(Broker& b);
+  void stop(Broker& b, int signal);
+  std::vector<int> of(const google::protobuf::RepeatedField<std::uint32_t>& list, const Step& s) const;
+  int leader() const;
+  std::string asked(int broker, const std::string& args) const;  // of its operators' address, as JSON
+  void trouble(const Step& s, const std::function<void(Trouble&)>& change);
+  bool command(const Step& s);
+  std::string list_for(int broker, std::uint64_t revision) const;
+  bool settled(std::uint64_t least, const std::vector<int>& at) const;
+  void report();
+
+  std::string program_, folder_;
+  Script script_;
+  event_base* base_;
+  std::mt19937 chance_;
+  std::vector<std::unique_ptr<Broker>> brokers_;
+  std::map<std::pair<int, int>, std::unique_ptr<Link>> links_;
+  std::vector<std::unique_ptr<Agent>> agents_;
+  std::vector<std::unique_ptr<Host>> hosts_;
+  std::vector<std::unique_ptr<Caller>> callers_;
+  std::vector<Record> records_;
+  Known known_;
+  // The catalogue: by revision, what phase each host is in and when it started.
+  struct State {
+    std::vector<std::string> phase;
+    std::vector<std::uint64_t> up;
+  };
+  std::map<std::uint64_t, State> catalogue_;
+  std::uint64_t answered_ = 0, whole_ = 0, pushed_back_ = 0, failed_ = 0, doubled_ = 0, unanswered_ = 0;
+  std::uint64_t before_answered_ = 0;
+  std::map<std::string, std::uint64_t> parts_;  // at each node and broker, counted by a step
+  int proposals_ = 0;
+};
+
+}  // namespace cairnhub::fleet
