Rig asks brokers on its own loop, so that links go on while it waits

Under the sanitizers two plays failed: the rig asked a broker's status through a child process and waited for it, and all links stood still meanwhile, so that no leader held (leader_dies: awaited for 100 s). It asks on its own loop now; timers are freed with it.

--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/http.h>
 #include <event2/listener.h>
 #include <fcntl.h>
 #include <sys/prctl.h>
@@ -42,17 +43,6 @@
   return t.tv_sec * 1'000'000'000LL + t.tv_nsec;
 }
 
-void after_ms(event_base* base, int ms, std::function<void()> what) {
-  const timeval tv{ms / 1000, ms % 1000 * 1000};
-  event_base_once(
-      base, -1, EV_TIMEOUT,
-      [](evutil_socket_t, short, void* p) {
-        const std::unique_ptr<std::function<void()>> f(static_cast<std::function<void()>*>(p));
-        (*f)();
-      },
-      new std::function<void()>(std::move(what)), &tv);
-}
-
 evconnlistener* listen_at(event_base* base, int port, evconnlistener_cb cb, void* self) {
   const sockaddr_in a = address(port);
   evconnlistener* l = evconnlistener_new_bind(
@@ -124,7 +114,7 @@
         if (wait == 0)
           forward(copy);
         else
-          after_ms(rig_.base_, wait, [this, copy = std::move(copy)] { forward(copy); });
+          rig_.later(wait, [this, copy = std::move(copy)] { forward(copy); });
       }
     }
   }
@@ -362,7 +352,7 @@
 
  private:
   void later(int ms, void (Caller::*what)()) {
-    after_ms(rig_.base_, ms, [this, here = here_, what] {
+    rig_.later(ms, [this, here = here_, what] {
       if (*here) (this->*what)();
     });
   }
@@ -503,6 +493,27 @@
   }
 }
 
+void Rig::later(int ms, std::function<void()> what) {
+  later_.push_back(std::make_unique<Later>(Later{*this, std::move(what), nullptr, {}}));
+  Later& l = *later_.back();
+  l.self = std::prev(later_.end());
+  l.due = evtimer_new(
+      base_,
+      [](evutil_socket_t, short, void* p) {
+        Later& mine = *static_cast<Later*>(p);
+        const auto kept = std::move(*mine.self);
+        mine.rig.later_.erase(kept->self);
+        kept->what();
+      },
+      &l);
+  const timeval tv{ms / 1000, ms % 1000 * 1000};
+  evtimer_add(l.due, &tv);
+}
+
+Rig::Later::~Later() {
+  if (due) event_free(due);
+}
+
 Rig::~Rig() {
   for (auto& b : brokers_)
     if (b->pid > 0) kill(b->pid, SIGKILL), waitpid(b->pid, nullptr, 0);
@@ -510,6 +521,7 @@
   links_.clear();
   agents_.clear();
   hosts_.clear();
+  later_.clear();
   event_base_free(base_);
   if (!std::getenv("KEEP_FLEET")) {
     std::error_code ignored;
@@ -635,20 +647,37 @@
   return true;
 }
 
-std::string Rig::asked(int broker, const std::string& args) const {
-  std::FILE* p = popen(
-      (program_ + " " + args + " --json --at " + at(kOperators + broker) + " 2>/dev/null").c_str(), "r");
-  std::string all;
-  char some[4096];
-  for (std::size_t n; p && (n = std::fread(some, 1, sizeof some, p)) > 0;) all.append(some, n);
-  if (p) pclose(p);
-  return all;
+// On the rig's own loop: the links go on while the answer is waited for.
+std::string Rig::asked(int broker, const char* path) const {
+  struct State {
+    bool done = false;
+    std::string body;
+  } state;
+  const std::string where = at(kOperators + broker);
+  evhttp_connection* c = evhttp_connection_base_new(base_, nullptr, where.substr(0, where.rfind(':')).c_str(),
+                                                    static_cast<std::uint16_t>(kOperators + broker));
+  evhttp_connection_set_timeout(c, 2);
+  evhttp_request* r = evhttp_request_new(
+      [](evhttp_request* got, void* p) {
+        State& mine = *static_cast<State*>(p);
+        mine.done = true;
+        if (!got) return;
+        evbuffer* in = evhttp_request_get_input_buffer(got);
+        mine.body.resize(evbuffer_get_length(in));
+        evbuffer_copyout(in, mine.body.data(), mine.body.size());
+      },
+      &state);
+  evhttp_add_header(evhttp_request_get_output_headers(r), "Host", where.c_str());
+  if (evhttp_make_request(c, r, EVHTTP_REQ_GET, path) == 0)
+    while (!state.done) event_base_loop(base_, EVLOOP_ONCE);
+  evhttp_connection_free(c);
+  return state.body;
 }
 
 int Rig::leader() const {
   for (const auto& b : brokers_) {
     if (b->pid <= 0 || b->stopped) continue;
-    const auto j = nlohmann::json::parse(asked(b->number, "accord status"), nullptr, false);
+    const auto j = nlohmann::json::parse(asked(b->number, "/accord/status"), nullptr, false);
     if (j.is_object() && j.value("leads", false)) return b->number;
   }
   return -1;
@@ -878,7 +907,7 @@
     return await(
         [&] {
           return every([&](const Broker& b) {
-            const auto j = nlohmann::json::parse(asked(b.number, "accord status"), nullptr, false);
+            const auto j = nlohmann::json::parse(asked(b.number, "/accord/status"), nullptr, false);
             if (!j.is_object() || !j.value("votes", false) || j["voters"].size() != s.n()) return false;
             for (const auto& v : j["voters"])
               if (!v.value("votes", false)) return false;
--- a/tests/fleet/rig.h
+++ b/tests/fleet/rig.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <random>
@@ -63,6 +64,14 @@
     int lives = 0;
     std::map<std::string, int> seen;  // records by kind
   };
+  struct Later {
+    Rig& rig;
+    std::function<void()> what;
+    event* due;
+    std::list<std::unique_ptr<Later>>::iterator self;
+    ~Later();
+  };
+  void later(int ms, std::function<void()> what);
   bool step(const Step& s);
   bool await(const std::function<bool()>& holds, const char* what, int patience_ms = 20000);
   void run_for(int ms);
@@ -72,7 +81,7 @@
   void stop(Broker& b, int signal);
   std::vector<int> of(const google::protobuf::RepeatedField<std::uint32_t>& list, const Step& s) const;
   int leader() const;
-  std::string asked(int broker, const std::string& args) const;  // of its operators' address, as JSON
+  std::string asked(int broker, const char* path) const;  // of its operators' address, JSON
   void trouble(const Step& s, const std::function<void(Trouble&)>& change);
   bool command(const Step& s);
   std::string list_for(int broker, std::uint64_t revision) const;
@@ -88,6 +97,7 @@
   std::vector<std::unique_ptr<Agent>> agents_;
   std::vector<std::unique_ptr<Host>> hosts_;
   std::vector<std::unique_ptr<Caller>> callers_;
+  std::list<std::unique_ptr<Later>> later_;
   std::vector<Record> records_;
   Known known_;
   // The catalogue: by revision, what phase each host is in and when it started.
