Play of keys: another key, replays, noise and an exchange while versions change

The issue asks that what does not verify is dropped with processes, not only in the sealer's story. The rig gains keys by broker, SIGHUP, datagrams sent again, random bytes up to 65,507 and streams of junk.

--- a/tests/fleet/rig.cpp
+++ b/tests/fleet/rig.cpp
@@ -15,6 +15,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstring>
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -103,6 +104,11 @@
       const ssize_t n = recv(fd_, bytes, sizeof bytes, 0);
       if (n < 0) return;
       if (trouble.cut) continue;
+      if (trouble.again > 0) {  // what has passed before comes again
+        passed_.emplace_back(bytes, static_cast<std::size_t>(n));
+        if (passed_.size() > 64) passed_.pop_front();
+        for (int k = 0; k < trouble.again; ++k) forward(passed_[rig_.chance_() % passed_.size()]);
+      }
       std::uniform_real_distribution<double> unit;
       for (int copies = unit(rig_.chance_) < trouble.twice ? 2 : 1; copies > 0; --copies) {
         if (unit(rig_.chance_) < trouble.lose) continue;
@@ -174,6 +180,7 @@
   }
 
   Rig& rig_;
+  std::deque<std::string> passed_;
   int from_, to_, fd_;
   event *readable_, *tick_;
   evconnlistener* listener_;
@@ -439,7 +446,6 @@
   std::signal(SIGPIPE, SIG_IGN);
   char made[] = "/tmp/cairnhub-fleet-XXXXXX";
   folder_ = mkdtemp(made);
-  std::ofstream(folder_ + "/key") << "1 " << std::string(64, 'a') << "\n";
   const int n = static_cast<int>(script.brokers()), hosts = static_cast<int>(script.hosts());
   catalogue_[1] = {std::vector<std::string>(static_cast<std::size_t>(hosts), "in_service"),
                    std::vector<std::uint64_t>(static_cast<std::size_t>(hosts), 0)};
@@ -459,6 +465,7 @@
     b.number = i, b.name = "b" + std::to_string(i), b.folder = folder_ + "/" + b.name;
     fs::create_directory(b.folder);
     fs::create_directory(b.folder + "/store");
+    write_keys(b, "a");
     std::ofstream(b.folder + "/config.json")
         << R"({"listen":")" << at(kClients + i) << R"(","discovery":")" << at(kAgents + i)
         << R"(","seed":"00000000000000)" << std::hex << 16 + i << std::dec
@@ -471,7 +478,7 @@
     if (script.alone()) continue;
     std::ofstream o(b.folder + "/options.txtpb");
     o << "fleet {\n  name: \"" << b.name << "\"\n  listen: \"" << at(kTalk + i) << "\"\n  key_file: \""
-      << folder_ << "/key\"\n  operators: \"" << at(kOperators + i) << "\"\n  records: \"" << b.folder
+      << b.folder << "/key\"\n  operators: \"" << at(kOperators + i) << "\"\n  records: \"" << b.folder
       << "/records.jsonl\"\n"
       << "  probe_ms: " << script.probe_ms() << "\n  answer_within_ms: " << script.probe_ms() / 2 << "\n";
     for (int j = 0; j < n; ++j)
@@ -542,6 +549,12 @@
   return "{\"revision\":" + std::to_string(revision) + ",\"complete\":true,\"members\":[" + members + "]}";
 }
 
+// Of each letter a key that is that letter 64 times; the first seals.
+void Rig::write_keys(const Broker& b, const std::string& letters) {
+  std::ofstream out(b.folder + "/key");
+  for (const char c : letters) out << static_cast<int>(c) << " " << std::string(64, c) << "\n";
+}
+
 void Rig::start(Broker& b) {
   if (b.pid > 0) return;
   b.pid = fork();
@@ -748,6 +761,30 @@
   return true;
 }
 
+// Datagrams that are none, of random bytes and up to 65,507 of them, and streams of such.
+void Rig::noise(const Step& s) {
+  const int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+  for (const int i : of(s.at(), s)) {
+    const sockaddr_in to = address(kTalk + i);
+    for (std::uint64_t k = 0; k < s.n(); ++k) {
+      std::string bytes(k % 50 == 0 ? 65507 : chance_() % 300, ' ');
+      for (char& c : bytes) c = static_cast<char>(chance_());
+      sendto(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+      if (k % 100 == 99) run_for(2);
+    }
+    for (int k = 0; k < 5; ++k) {
+      bufferevent* b = bufferevent_socket_new(base_, -1, BEV_OPT_CLOSE_ON_FREE);
+      bufferevent_enable(b, EV_READ | EV_WRITE);
+      bufferevent_socket_connect(b, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+      const std::string junk(5000, static_cast<char>(1 + k));
+      bufferevent_write(b, junk.data(), junk.size());
+      run_for(10);
+      bufferevent_free(b);
+    }
+  }
+  close(fd);
+}
+
 void Rig::report() {
   const Audit a = audit(records_, known_);
   const std::int64_t stated = static_cast<std::int64_t>(script_.stated_ms()) * 1'000'000;
@@ -806,6 +843,10 @@
     each([&](Broker& b) { stop(b, SIGTERM); });
     return await([&] { return every([](const Broker& b) { return b.pid == 0; }); }, "the end of a broker");
   }
+  if (verb == "keys") return each([&](Broker& b) { write_keys(b, s.text()); }), true;
+  if (verb == "hup") return each([&](Broker& b) { stop(b, SIGHUP); }), true;
+  if (verb == "noise") return noise(s), true;
+  if (verb == "replay") return trouble(s, [&](Trouble& t) { t.again = static_cast<int>(s.n()); }), true;
   if (verb == "stand") return each([&](Broker& b) { stop(b, SIGSTOP), b.stopped = true; }), true;
   if (verb == "go_on") return each([&](Broker& b) { stop(b, SIGCONT), b.stopped = false; }), true;
   if (verb == "wipe") {
@@ -952,6 +993,14 @@
     std::printf("  pushed back: %s\n", std::exchange(pushed_back_, 0) > 0 ? "some" : "none");
     return true;
   }
+  if (verb == "dropped") {  // whether any message was dropped for the reason that text names
+    for (const int i : at_brokers) {
+      const auto j = nlohmann::json::parse(asked(i, "/peers"), nullptr, false);
+      const auto n = j.is_object() ? j["talk"]["dropped"].value(s.text(), std::uint64_t{0}) : 0;
+      std::printf("  b%d dropped %s: %s\n", i, s.text().c_str(), n > 0 ? "some" : "none");
+    }
+    return true;
+  }
   if (verb == "run") return command(s);
   if (verb == "tell") {  // as `run`, but nobody waits for it
     const std::string rules = folder_ + "/told-" + std::to_string(++proposals_) + ".txtpb";
--- a/tests/fleet/rig.h
+++ b/tests/fleet/rig.h
@@ -28,6 +28,7 @@
   double lose = 0, twice = 0;       // of datagrams
   int bytes_a_tick = 0;             // of streams, each 10 ms; 0: all
   std::int64_t break_after = -1;    // bytes of a stream, then it is reset
+  int again = 0;                    // datagrams that passed before, sent again with each
 };
 
 class Link;
@@ -84,6 +85,8 @@
   std::string asked(int broker, const char* path) const;  // of its operators' address, JSON
   void trouble(const Step& s, const std::function<void(Trouble&)>& change);
   bool command(const Step& s);
+  void noise(const Step& s);
+  static void write_keys(const Broker& b, const std::string& letters);
   std::string list_for(int broker, std::uint64_t revision) const;
   bool settled(std::uint64_t least, const std::vector<int>& at) const;
   void report();
