--- a/fuzz/messages.cpp
+++ b/fuzz/messages.cpp
@@ -9,6 +9,8 @@
 #include "accord/wire.h"
 #include "peers/codec.h"
 #include "talk/seal.h"
+#include "upkeep/codec.h"
+#include "zones/report.h"
 
 using namespace cairnhub;
 
@@ -28,7 +30,7 @@
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   if (size == 0) return 0;
   const std::string_view text(reinterpret_cast<const char*>(data) + 1, size - 1);
-  switch (data[0] % 6) {
+  switch (data[0] % 9) {
     case 0:
       if (const auto m = peers::decode(text)) {
         for (const auto& r : m->rumours) must(peers::good_name(r.name) && !r.address.empty());
@@ -55,6 +57,28 @@
         must(copy.restore(book.snapshot()) && copy.newest() == book.newest());
       }
       break;
+    case 7:
+      if (const auto m = upkeep::decode(text)) {
+        const auto again = upkeep::decode(upkeep::encode(*m));
+        must(again && again->stand_down == m->stand_down && again->clear.has_value() == m->clear.has_value());
+        if (m->clear) must(again->clear->out == m->clear->out && again->clear->low == m->clear->low);
+      }
+      break;
+    case 8: {
+      // An entry on works, on a board that holds one already.
+      accord::Entry e;
+      e.kind = accord::Entry::Kind::board;
+      e.text = "facts { cells: 3 width: 2 terms { at_once: 1 } node { name: \"n\" ready: true warm: true } }";
+      accord::Versions book(std::make_shared<upkeep::Works>());
+      must(book.apply(e).number != 0);
+      e.text = std::string(text);
+      const auto v = book.apply(e);
+      must(v.number != 0 || !v.refused.empty());
+      accord::Versions copy(std::make_shared<upkeep::Works>());
+      must(copy.restore(book.snapshot()) && copy.board()->snapshot() == book.board()->snapshot());
+      upkeep::Works().restore(text);
+      break;
+    }
     case 3: {
       accord::Versions book;
       if (book.restore(text)) must(book.at(book.in_force()) != nullptr);
@@ -68,6 +92,15 @@
       } catch (const accord::RulesError&) {
       }
       break;
+    case 6:
+      if (const auto r = zones::decode(text)) {
+        const auto again = zones::decode(zones::encode(*r));
+        must(again && again->zones.size() == r->zones.size() && again->home == r->home);
+        zones::Evidence e({});
+        e.heard(kSecond, "other", *r);
+        for (const auto& [name, zone] : e.look(kSecond).zones) must(zone.bears >= 0 && zone.bears <= 1);
+      }
+      break;
     default: {
       accord::wire::Packet p;
       if (!p.ParseFromArray(text.data(), static_cast<int>(text.size()))) break;
--- a/src/accord/accord.cpp
+++ b/src/accord/accord.cpp
@@ -15,17 +15,20 @@
 
 }  // namespace
 
-Accord::Accord(const Terms& terms, const std::string& self, Store* store, Rules ground, std::uint64_t seed)
+Accord::Accord(const Terms& terms, const std::string& self, Store* store, Rules ground, std::uint64_t seed,
+               std::shared_ptr<const Board> board)
     : terms_(terms),
       self_(self),
       chance_(seed),
-      holder_(terms.lease, std::move(ground)),
+      holder_(terms.lease, std::move(ground), terms.life),
       leases_(terms.lease) {
   if (store)
-    engine_ = std::make_unique<Engine>(terms.engine, self, *store, seed + 1,
-                                       [this](const Entry& e, const Verdict& v) {
-                                         if (applied) applied(e, v);
-                                       });
+    engine_ = std::make_unique<Engine>(
+        terms.engine, self, *store, seed + 1,
+        [this](const Entry& e, const Verdict& v) {
+          if (applied) applied(e, v);
+        },
+        std::move(board));
 }
 
 Accord::~Accord() = default;
@@ -121,7 +124,8 @@
 void Accord::answer(Time now, const std::string& to, const Grant& g) {
   if (to == self_) {
     ever_answered_ = true;
-    return holder_.answered(now, g);
+    holder_.answered(now, g);
+    return;
   }
   wire::Packet p;
   auto& w = *p.mutable_grant();
@@ -170,10 +174,7 @@
       }
       if (w.has_ground()) good = good && (g.ground = take(w.ground()));
       if (w.has_ground_next()) good = good && (g.ground_next = take(w.ground_next()));
-      if (good) {
-        leader_ = from, unanswered_ = 0, ever_answered_ = true;
-        holder_.answered(now, g);
-      }
+      if (good && holder_.answered(now, g)) leader_ = from, unanswered_ = 0, ever_answered_ = true;
     }
   }
   if (p.has_confirm() && engine_ && !engine_->broken()) {
@@ -318,7 +319,11 @@
       return;
     }
     ++voting;
-    if (other_store || gone) lost.push_back(&v);
+    if (other_store || gone || retiring_.count(v.name)) lost.push_back(&v);
+  }
+  if (retiring_.count(self_) && voting > 1) {
+    engine_->hand_over(now);
+    return;
   }
   if (lost.empty()) return;
   const std::size_t wanted = terms_.voters.size();
@@ -327,7 +332,7 @@
     return;
   }
   for (const auto& [name, held] : leases_.held()) {
-    if (!held.may_vote || held.voter_id == 0 || !held.live(now)) continue;
+    if (!held.may_vote || held.voter_id == 0 || !held.live(now) || retiring_.count(name)) continue;
     const auto id = held.voter_id;
     if (std::any_of(voters.begin(), voters.end(), [id](const Voter& v) { return v.id == id; })) continue;
     engine_->add_voter(now, id, name);
--- a/src/accord/accord.h
+++ b/src/accord/accord.h
@@ -31,6 +31,7 @@
   std::vector<std::string> voters;     // as stated: where to ask first
   Time replace_after = 30 * kSecond;   // a voter lost for so long gives way to another
   Time propose_within = 10 * kSecond;  // an operator's proposal is given up then
+  std::uint32_t life = 0;              // of this process: another each time it starts
 };
 
 struct Status {
@@ -48,7 +49,9 @@
 class Accord {
  public:
   // `store` null: it learns and does not vote. `ground`: what it acts on as long as it knows no other.
-  Accord(const Terms& terms, const std::string& self, Store* store, Rules ground, std::uint64_t seed);
+  // `board`: the empty one, where the log carries one.
+  Accord(const Terms& terms, const std::string& self, Store* store, Rules ground, std::uint64_t seed,
+         std::shared_ptr<const Board> board = nullptr);
   ~Accord();
 
   void start(Time now);
@@ -71,11 +74,17 @@
   // An operator's entry, made here. `done` is told once: the verdict, or none where time ran out.
   using Done = std::function<void(const std::optional<Verdict>&)>;
   void propose(Time now, Entry entry, Done done);
+  // Brokers that are about to be taken out: where they vote, others take their place at once; where this one
+  // leads and is among them, it hands over the lead.
+  void retire(std::set<std::string> names) { retiring_ = std::move(names); }
+  // Who holds a lease, as this broker knows where it leads.
+  const Leases& leases() const { return leases_; }
   void leave(Time now);  // hands back its lease and, where it leads, the lead
 
   // What is known here of the versions: the log's book where the engine runs, else what leases brought.
   std::vector<Version> history() const;
   const Holder& holder() const { return holder_; }
+  const std::string& leader() const { return leader_; }  // last heard of; empty: not known
   const Engine* engine() const { return engine_.get(); }
   Status status(Time now) const;
   // Told each entry that the log applied here.
@@ -112,7 +121,7 @@
   std::uint64_t led_term_ = 0, told_newest_ = 0, told_ground_ = 0;
   std::set<std::string> enlist_out_;
   std::map<std::string, Time> dead_since_;  // others, as membership tells
-  std::set<std::string> alive_;
+  std::set<std::string> alive_, retiring_;
   std::vector<Pending> pending_;
   Time next_tick_ = kNever, next_mend_ = kNever;
   std::deque<Outgoing> out_;
--- a/src/accord/engine.cpp
+++ b/src/accord/engine.cpp
@@ -6,6 +6,7 @@
 #include <raft.h>
 }
 
+#include <algorithm>
 #include <cstdlib>
 #include <cstring>
 #include <deque>
@@ -84,6 +85,11 @@
   std::deque<std::function<void()>> ends;  // to be told to the library
   Verdict last;                            // of the entry applied last
   bool change_out = false;
+  // Up to where the message being answered proves that this log is the leader's. Danger: the library answers
+  // with the end of its log, which may be longer by entries that an earlier leader never got committed; where
+  // that answer comes late the leader counts it for entries it has written since, and commits what nobody
+  // else holds.
+  std::uint64_t proved = 0;
 
   struct Apply {
     struct raft_apply request {};
@@ -99,8 +105,9 @@
     std::uint64_t term;
   };
 
-  Impl(const EngineTerms& t, const std::string& n, Store& s, std::uint64_t seed, Applied a)
-      : terms(t), name(n), store(s), chance(seed), applied(std::move(a)) {}
+  Impl(const EngineTerms& t, const std::string& n, Store& s, std::uint64_t seed, Applied a,
+       std::shared_ptr<const Board> board)
+      : terms(t), name(n), store(s), chance(seed), applied(std::move(a)), versions(std::move(board)) {}
 
   static Impl& of(raft_io* io) { return *static_cast<Impl*>(io->impl); }
 
@@ -264,7 +271,8 @@
       }
       case RAFT_IO_APPEND_ENTRIES_RESULT: {
         const auto& a = m.append_entries_result;
-        w.set_term(a.term), w.set_a(a.rejected), w.set_b(a.last_log_index);
+        w.set_term(a.term), w.set_a(a.rejected);
+        w.set_b(a.rejected ? a.last_log_index : std::min<std::uint64_t>(a.last_log_index, proved));
         break;
       }
       case RAFT_IO_REQUEST_VOTE: {
@@ -307,6 +315,7 @@
         auto& a = m.append_entries;
         a.term = w.term(), a.prev_log_index = w.a(), a.prev_log_term = w.b(), a.leader_commit = w.c();
         a.n_entries = static_cast<unsigned>(w.entry_size());
+        proved = a.prev_log_index + a.n_entries;
         if (a.n_entries) {
           a.entries = static_cast<raft_entry*>(raft_calloc(a.n_entries, sizeof(raft_entry)));
           // One batch for all: the library frees them by it.
@@ -346,6 +355,7 @@
       case RAFT_IO_INSTALL_SNAPSHOT: {
         auto& a = m.install_snapshot;
         a.term = w.term(), a.last_index = w.a(), a.last_term = w.b(), a.conf_index = w.c();
+        proved = a.last_index;
         raft_configuration_init(&a.conf);
         if (!decode_into(w.conf(), a.conf)) {
           raft_configuration_close(&a.conf);
@@ -392,8 +402,8 @@
 };
 
 Engine::Engine(const EngineTerms& terms, const std::string& name, Store& store, std::uint64_t seed,
-               Applied applied)
-    : impl_(std::make_unique<Impl>(terms, name, store, seed, std::move(applied))) {
+               Applied applied, std::shared_ptr<const Board> board)
+    : impl_(std::make_unique<Impl>(terms, name, store, seed, std::move(applied), std::move(board))) {
   Impl& m = *impl_;
   m.set_up();
   if (raft_init(&m.r, &m.io, &m.fsm, store.loaded().voter_id,
--- a/src/accord/engine.h
+++ b/src/accord/engine.h
@@ -44,8 +44,8 @@
  public:
   // `applied` is told each entry, as it is applied, with what it led to.
   using Applied = std::function<void(const Entry&, const Verdict&)>;
-  Engine(const EngineTerms& terms, const std::string& name, Store& store, std::uint64_t seed,
-         Applied applied);
+  Engine(const EngineTerms& terms, const std::string& name, Store& store, std::uint64_t seed, Applied applied,
+         std::shared_ptr<const Board> board = nullptr);
   ~Engine();
   Engine(const Engine&) = delete;
   Engine& operator=(const Engine&) = delete;
--- a/src/accord/hearsay.cpp
+++ b/src/accord/hearsay.cpp
@@ -57,12 +57,14 @@
   put({name, started, gone, own_});
 }
 
-void Hearsay::ends() {
-  if (!whole_) return;
+std::vector<std::string> Hearsay::ends() {
+  if (!whole_) return {};
   std::vector<std::pair<std::string, Time>> ended;
+  std::vector<std::string> names;
   for (const auto& [name, own] : own_nodes_)
     if (own.named_in != lists_) ended.emplace_back(name, own.started);
-  for (const auto& [name, started] : ended) node(name, started, false, true);
+  for (const auto& [name, started] : ended) node(name, started, false, true), names.push_back(name);
+  return names;
 }
 
 void Hearsay::anew() { *this = Hearsay{}; }
--- a/src/accord/hearsay.h
+++ b/src/accord/hearsay.h
@@ -31,8 +31,8 @@
   // gone.
   void begins(std::uint64_t revision, bool whole);
   void node(const std::string& name, Time started, bool ready, bool gone);
-  void ends();
-  void anew();  // another catalogue: all is forgotten
+  std::vector<std::string> ends();  // the nodes that a whole list no longer names
+  void anew();                      // another catalogue: all is forgotten
 
   // True where it's news here: to be told on.
   bool heard(const Notice& n);
--- a/src/accord/leases.cpp
+++ b/src/accord/leases.cpp
@@ -5,7 +5,8 @@
 
 namespace cairnhub::accord {
 
-Holder::Holder(const LeaseTerms& terms, Rules ground) : terms_(terms) {
+Holder::Holder(const LeaseTerms& terms, Rules ground, std::uint32_t life)
+    : terms_(terms), sequence_(std::uint64_t{life} << 32) {
   ground_.rules = std::make_shared<const Rules>(std::move(ground));
   make_ground();
 }
@@ -38,17 +39,24 @@
 
 void Holder::not_there(Time now) { next_ask_ = std::min(next_ask_, now + terms_.ask_again() / 8); }
 
-void Holder::answered(Time now, const Grant& g) {
+bool Holder::answered(Time now, const Grant& g) {
   const auto asked = asked_.find(g.sequence);
-  if (asked == asked_.end()) return;  // answered already, or too long ago
+  if (asked == asked_.end()) return false;  // answered already, or too long ago
   const Time at = asked->second;
   asked_.erase(asked_.begin(), std::next(asked));
   const auto have_before = have_, ground_before = ground_.number;
   const auto next_before = ground_next_ ? ground_next_->number : 0;
   for (const Version& v : g.versions) versions_[v.number] = v;
-  if (g.ground) ground_ = *g.ground;
-  if (g.ground || g.ground_next) ground_next_ = g.ground_next;
-  if (g.ground || g.ground_next) make_ground();
+  // Danger: of two askings on their way the later may be answered first, before a next ground was made; taken
+  // after the other, it would bring back the ground that this broker has just said it no longer keeps to
+  // alone.
+  const auto step = [](std::uint64_t ground, bool next) { return 2 * ground + next; };
+  if (g.ground && (g.term > ground_term_ ||
+                   (g.term == ground_term_ && step(g.ground->number, g.ground_next.has_value()) >=
+                                                  step(ground_.number, ground_next_.has_value())))) {
+    ground_ = *g.ground, ground_next_ = g.ground_next, ground_term_ = g.term;
+    make_ground();
+  }
   // What is held without a gap, from the lowest that counts on.
   const std::uint64_t from = g.low ? g.low : g.versions.empty() ? have_ + 1 : g.versions.front().number;
   if (versions_.count(from) != 0 && (g.low || !g.versions.empty())) {
@@ -59,13 +67,13 @@
   if (g.low == 0 || g.low > g.high) {
     // The content came: ask again at once, with it in hand.
     next_ask_ = have_ > have_before ? now : std::min(next_ask_, now + terms_.ask_again());
-    return;
+    return true;
   }
   auto a = std::make_shared<Acting>();
   a->low = g.low, a->high = g.high, a->ground = ground_.number;
   for (std::uint64_t n = g.low; n <= g.high; ++n) {
     const auto it = versions_.find(n);
-    if (it == versions_.end()) return;  // not all of it in hand: no lease is taken up
+    if (it == versions_.end()) return true;  // not all of it in hand: no lease is taken up
     a->rules =
         a->rules ? std::make_shared<const Rules>(meet(*a->rules, *it->second.rules)) : it->second.rules;
   }
@@ -79,12 +87,15 @@
   // Danger: what is only acknowledged with the next renewal would make every change wait for it.
   if (!same || ground_.number != ground_before || (ground_next_ ? ground_next_->number : 0) != next_before)
     next_ask_ = now;
+  return true;
 }
 
 namespace {
 
 void say(std::string& into, std::uint64_t n) { into += std::to_string(n) + ' '; }
-void say(std::string& into, const Ask& a) { say(into, a.sequence), say(into, a.taken), say(into, a.have); }
+void say(std::string& into, const Ask& a) {
+  say(into, a.sequence), say(into, a.taken), say(into, a.have), say(into, a.ground), say(into, a.settled);
+}
 
 }  // namespace
 
@@ -96,6 +107,7 @@
   for (const auto& [sequence, at] : asked_)
     say(into, sequence), say(into, static_cast<std::uint64_t>(now - at));
   for (const auto& [n, v] : versions_) say(into, n);
+  say(into, ground_.number), say(into, ground_next_ ? ground_next_->number : 0);
   into += '|';
 }
 
@@ -104,6 +116,7 @@
   say(into, static_cast<std::uint64_t>(std::max<Time>(0, earlier_until_ - now)));
   for (const auto& [name, h] : held_) {
     into += name + ' ';
+    say(into, h.ground);
     for (const Out& o : h.out)
       if (o.until > now)
         say(into, o.sequence), say(into, o.high), say(into, static_cast<std::uint64_t>(o.until - now));
@@ -127,6 +140,11 @@
   if (ask.bye) return gone(by);
   if (held_.size() >= Versions::kRoster && !held_.count(by)) return;
   Held& h = held_[by];
+  // Danger: the ground that an earlier life kept to is not what this one keeps to.
+  if (const std::uint64_t life = ask.sequence >> 32; life != h.life) {
+    if (life != 0 && life == h.life_before) return;
+    h.life_before = std::exchange(h.life, life);
+  }
   h.may_vote = ask.may_vote, h.voter_id = ask.voter_id;
   std::erase_if(h.out, [&](const Out& o) { return o.sequence < ask.taken || o.until <= now; });
   h.ground = ask.ground;  // not the highest ever: it may have started anew, knowing none
--- a/src/accord/leases.h
+++ b/src/accord/leases.h
@@ -33,15 +33,16 @@
   Time ask_again() const { return span() / 8; }
 };
 
+// Of a sequence the upper half is the life of the process that asks, the lower one counts.
 struct Ask {
-  std::uint32_t sequence = 0, taken = 0;  // taken: the grant it acts under, and no earlier one ever again
+  std::uint64_t sequence = 0, taken = 0;  // taken: the grant it acts under, and no earlier one ever again
   std::uint64_t have = 0, ground = 0, settled = 0;  // grounds: kept to, known to be the only one
   bool may_vote = false, bye = false;
   std::uint64_t voter_id = 0;
 };
 
 struct Grant {
-  std::uint32_t sequence = 0;
+  std::uint64_t sequence = 0;
   std::uint64_t low = 0, high = 0;  // 0: none
   std::uint64_t term = 0;
   std::vector<Version> versions;
@@ -58,22 +59,26 @@
 // A broker's own side.
 class Holder {
  public:
-  Holder(const LeaseTerms& terms, Rules ground);
+  // `life` differs in each life of a broker. Danger: an answer to an asking of its earlier life, were it
+  // taken for one to its own, would make a lease that nobody counts, and leave out the ground that the
+  // earlier life had.
+  Holder(const LeaseTerms& terms, Rules ground, std::uint32_t life = 0);
 
   // What may be acted on at `now`. A look at the clock and a pointer: asked before each thing done.
   const std::shared_ptr<const Acting>& acting(Time now) const { return now < until_ ? leased_ : grounded_; }
   Time until() const { return until_; }
 
   Time wake() const { return next_ask_; }
-  Ask ask(Time now);  // a new asking; earlier ones may still be answered
-  void answered(Time now, const Grant& grant);
-  void not_there(Time now);  // asked one that does not lead: ask the next one soon
+  Ask ask(Time now);                            // a new asking; earlier ones may still be answered
+  bool answered(Time now, const Grant& grant);  // false: to nothing that this life has asked
+  void not_there(Time now);                     // asked one that does not lead: ask the next one soon
   void ask_soon(Time now) { next_ask_ = std::min(next_ask_, now); }
   void handed_back() { until_ = 0; }
   // The ground kept from an earlier life, where a store holds one.
   void keep(const Version& ground);
   const Version& ground() const { return ground_; }
   const std::optional<Version>& ground_next() const { return ground_next_; }
+  const Rules& grounded() const { return *grounded_->rules; }  // acted on without a lease
   std::uint64_t have() const { return have_; }
   const std::map<std::uint64_t, Version>& versions() const { return versions_; }
   // All that its further ways depend on, spans counted from `now`: two alike go on alike. For the exhaustive
@@ -87,10 +92,11 @@
   std::uint64_t have_ = 0;
   Version ground_;
   std::optional<Version> ground_next_;
+  std::uint64_t ground_term_ = 0;  // of the leader who told them
   std::shared_ptr<const Acting> leased_, grounded_;
   Time until_ = 0, next_ask_ = 0;
-  std::uint32_t sequence_ = 0, taken_ = 0;
-  std::map<std::uint32_t, Time> asked_;  // the last few
+  std::uint64_t sequence_ = 0, taken_ = 0;
+  std::map<std::uint64_t, Time> asked_;  // the last few
 };
 
 // The leader's side.
@@ -129,13 +135,14 @@
   // A grant may be lost on its way, and its receiver then goes on under an earlier one: each counts until it
   // has lapsed, or until its receiver says that it acts under a later one.
   struct Out {
-    std::uint32_t sequence;
+    std::uint64_t sequence;
     std::uint64_t high;
     Time until;
   };
   struct Held {
     std::vector<Out> out;  // oldest first
     std::uint64_t ground = 0;
+    std::uint64_t life = 0, life_before = 0;  // what comes late of an earlier one is passed over
     bool live(Time now) const { return !out.empty() && out.back().until > now; }
     std::uint64_t lowest(Time now) const;  // UINT64_MAX: nothing out
     bool may_vote = false;
--- a/src/accord/rules.cpp
+++ b/src/accord/rules.cpp
@@ -1,12 +1,12 @@
 #include "accord/rules.h"
 
-#include <google/protobuf/io/tokenizer.h>
 #include <google/protobuf/text_format.h>
 #include <sodium.h>
 
 #include <algorithm>
 #include <iterator>
 
+#include "base/first_error.h"
 #include "rules.pb.h"
 
 namespace cairnhub::accord {
@@ -16,13 +16,6 @@
 constexpr Time kMs = kSecond / 1000;
 constexpr int kNamesMost = 4096;
 
-struct FirstError : google::protobuf::io::ErrorCollector {
-  std::string text;
-  void AddError(int line, int column, const std::string& message) override {
-    if (text.empty()) text = std::to_string(line + 1) + ":" + std::to_string(column + 1) + ": " + message;
-  }
-};
-
 std::set<std::string> either(const std::set<std::string>& a, const std::set<std::string>& b) {
   std::set<std::string> all = a;
   all.insert(b.begin(), b.end());
@@ -48,6 +41,18 @@
   return it == op_types.end() ? none : it->second;
 }
 
+int ZoneShares::of(const std::string& from, const std::string& to) const {
+  const auto it = most.find({from, to});
+  return it == most.end() ? otherwise : it->second;
+}
+
+void ZoneShares::set(const std::string& from, const std::string& to, int thousandths) {
+  if (thousandths == otherwise)
+    most.erase({from, to});
+  else
+    most[{from, to}] = thousandths;
+}
+
 Rules meet(const Rules& a, const Rules& b) {
   Rules m = a;
   for (const auto& [name, rule] : b.op_types) {
@@ -55,13 +60,22 @@
     r.served = r.served && rule.served;
     r.time_most = std::min(r.time_most, rule.time_most);
     r.held_most = std::min(r.held_most, rule.held_most);
+    r.budget_most = std::min(r.budget_most, rule.budget_most);
+    r.least_share = std::max(r.least_share, rule.least_share);
+    r.crossing_most = std::min(r.crossing_most, rule.crossing_most);
   }
   m.sends_most = std::min(a.sends_most, b.sends_most);
   m.second_copies = a.second_copies && b.second_copies;
   m.two_phase_off = either(a.two_phase_off, b.two_phase_off);
   m.index_off = either(a.index_off, b.index_off);
   m.withheld = either(a.withheld, b.withheld);
+  m.at_work = either(a.at_work, b.at_work);
   m.list_floor = std::max(a.list_floor, b.list_floor);
+  m.zones = ZoneShares{std::min(a.zones.otherwise, b.zones.otherwise), {}};
+  for (const ZoneShares* z : {&a.zones, &b.zones})
+    for (const auto& [pair, n] : z->most)
+      m.zones.set(pair.first, pair.second,
+                  std::min(a.zones.of(pair.first, pair.second), b.zones.of(pair.first, pair.second)));
   return m;
 }
 
@@ -71,13 +85,22 @@
     if (mine.served && !rule.served) return "op type \"" + name + "\" served";
     if (mine.time_most > rule.time_most) return "time_most_ms of op type \"" + name + "\"";
     if (mine.held_most > rule.held_most) return "held_most of op type \"" + name + "\"";
+    if (mine.budget_most > rule.budget_most) return "latency_budget_most_ms of op type \"" + name + "\"";
+    if (mine.least_share < rule.least_share) return "least_share of op type \"" + name + "\"";
+    if (mine.crossing_most > rule.crossing_most) return "crossing_bytes_most of op type \"" + name + "\"";
   }
   if (a.sends_most > b.sends_most) return "sends_most";
   if (a.second_copies && !b.second_copies) return "second_copies";
   if (auto m = missing(a.two_phase_off, b.two_phase_off, "two_phase_off"); !m.empty()) return m;
   if (auto m = missing(a.index_off, b.index_off, "index_off"); !m.empty()) return m;
   if (auto m = missing(a.withheld, b.withheld, "withheld_node"); !m.empty()) return m;
+  if (auto m = missing(a.at_work, b.at_work, "at_work"); !m.empty()) return m;
   if (a.list_floor < b.list_floor) return "list_floor";
+  if (a.zones.otherwise > b.zones.otherwise) return "zone_shares between zones not named";
+  for (const ZoneShares* z : {&a.zones, &b.zones})
+    for (const auto& [pair, n] : z->most)
+      if (a.zones.of(pair.first, pair.second) > b.zones.of(pair.first, pair.second))
+        return "zone_shares from \"" + pair.first + "\" to \"" + pair.second + "\"";
   return "";
 }
 
@@ -108,6 +131,18 @@
         complain(" held_most is " + std::to_string(o.held_most()) + "; allowed is 0 to 1000000");
       r.held_most = static_cast<int>(o.held_most());
     }
+    if (o.has_latency_budget_most_ms()) {
+      if (o.latency_budget_most_ms() < 1 || o.latency_budget_most_ms() > 3600000)
+        complain(" latency_budget_most_ms is " + std::to_string(o.latency_budget_most_ms()) +
+                 "; allowed is 1 to 3600000");
+      r.budget_most = Time{o.latency_budget_most_ms()} * kMs;
+    }
+    if (o.has_least_share()) {
+      if (!(o.least_share() >= 0 && o.least_share() <= 1))  // no number isn't either
+        complain(" least_share is " + std::to_string(o.least_share()) + "; allowed is 0 to 1");
+      r.least_share = o.least_share();
+    }
+    if (o.has_crossing_bytes_most()) r.crossing_most = o.crossing_bytes_most();
     if (r == OpRule{}) out.op_types.erase(it);
   }
   if (m.has_sends_most()) {
@@ -116,7 +151,9 @@
     out.sends_most = static_cast<int>(m.sends_most());
   }
   if (m.has_second_copies()) out.second_copies = m.second_copies();
-  if (m.op_type_size() + m.two_phase_off_size() + m.index_off_size() + m.withheld_node_size() > kNamesMost)
+  if (m.op_type_size() + m.two_phase_off_size() + m.index_off_size() + m.withheld_node_size() +
+          m.at_work_size() >
+      kNamesMost)
     complain(" more than 4096 names");
   const auto names = [&](const auto& list, const char* what, std::set<std::string>& into) {
     for (const std::string& n : list) {
@@ -127,7 +164,24 @@
   names(m.two_phase_off(), "two_phase_off", out.two_phase_off);
   names(m.index_off(), "index_off", out.index_off);
   names(m.withheld_node(), "withheld_node", out.withheld);
+  names(m.at_work(), "at_work", out.at_work);
   out.list_floor = m.list_floor();
+  const auto thousandths = [&](std::uint32_t n, const char* what) {
+    if (n > 1000)
+      complain(std::string(" zone_shares: ") + what + " is " + std::to_string(n) + "; allowed is 0 to 1000");
+    return static_cast<int>(n);
+  };
+  if (m.zone_shares().has_otherwise())
+    out.zones.otherwise = thousandths(m.zone_shares().otherwise(), "otherwise");
+  if (m.zone_shares().share_size() > kNamesMost) complain(" zone_shares: more than 4096 pairs");
+  for (const auto& z : m.zone_shares().share()) {
+    if (!good(z.from()) || !good(z.to())) complain(" zone_shares: from or to is no name");
+    if (z.from() == z.to()) complain(" zone_shares: \"" + z.from() + "\" to itself is not limited");
+    if (!z.has_most()) complain(" zone_shares: most is missing");
+    if (out.zones.most.count({z.from(), z.to()}))
+      complain(" zone_shares: \"" + z.from() + "\" to \"" + z.to() + "\" stands twice");
+    out.zones.set(z.from(), z.to(), thousandths(z.most(), "most"));
+  }
   return out;
 }
 
@@ -140,13 +194,26 @@
     if (!r.served) o->set_served(false);
     if (r.time_most != kNever) o->set_time_most_ms(static_cast<std::uint32_t>(r.time_most / kMs));
     if (r.held_most != INT_MAX) o->set_held_most(static_cast<std::uint32_t>(r.held_most));
+    if (r.budget_most != kNever)
+      o->set_latency_budget_most_ms(static_cast<std::uint32_t>(r.budget_most / kMs));
+    if (r.least_share > 0) o->set_least_share(r.least_share);
+    if (r.crossing_most != INT64_MAX) o->set_crossing_bytes_most(static_cast<std::uint32_t>(r.crossing_most));
   }
   if (rules.sends_most != INT_MAX) m.set_sends_most(static_cast<std::uint32_t>(rules.sends_most));
   if (!rules.second_copies) m.set_second_copies(false);
   for (const auto& n : rules.two_phase_off) m.add_two_phase_off(n);
   for (const auto& n : rules.index_off) m.add_index_off(n);
   for (const auto& n : rules.withheld) m.add_withheld_node(n);
+  for (const auto& n : rules.at_work) m.add_at_work(n);
   if (rules.list_floor) m.set_list_floor(rules.list_floor);
+  if (rules.zones != ZoneShares{}) {
+    if (rules.zones.otherwise != 1000)
+      m.mutable_zone_shares()->set_otherwise(static_cast<std::uint32_t>(rules.zones.otherwise));
+    for (const auto& [pair, most] : rules.zones.most) {
+      auto* z = m.mutable_zone_shares()->add_share();
+      z->set_from(pair.first), z->set_to(pair.second), z->set_most(static_cast<std::uint32_t>(most));
+    }
+  }
   std::string text;
   google::protobuf::TextFormat::PrintToString(m, &text);
   return text;
--- a/src/accord/rules.h
+++ b/src/accord/rules.h
@@ -6,10 +6,15 @@
 // | served        | true             | true in both           |
 // | time_most     | longer           | the shorter            |
 // | held_most     | more             | the fewer              |
+// | budget_most   | longer           | the shorter            |
+// | least_share   | less             | the greater            |
+// | crossing_most | more             | the fewer              |
 // | sends_most    | more             | the fewer              |
 // | second_copies | true             | true in both           |
 // | two_phase_off, index_off, withheld | fewer names | the names of either |
 // | list_floor    | lower            | the higher             |
+// | zone_shares   | more, by pair    | the less               |
+// | at_work       | fewer nodes      | the nodes of either    |
 #pragma once
 #include <climits>
 #include <cstdint>
@@ -17,6 +22,7 @@
 #include <set>
 #include <stdexcept>
 #include <string>
+#include <utility>
 
 #include "model/time.h"
 
@@ -26,15 +32,30 @@
   bool served = true;
   Time time_most = kNever;
   int held_most = INT_MAX;
+  Time budget_most = kNever;
+  double least_share = 0;
+  std::int64_t crossing_most = INT64_MAX;  // bytes a second between zones, of one broker
   bool operator==(const OpRule&) const = default;
 };
 
+// How much of its parts a zone's brokers may send to each other zone, in thousandths. Their own zone is never
+// forbidden them.
+struct ZoneShares {
+  int otherwise = 1000;                                     // pairs not named
+  std::map<std::pair<std::string, std::string>, int> most;  // from, to: never as `otherwise`
+  int of(const std::string& from, const std::string& to) const;
+  void set(const std::string& from, const std::string& to, int thousandths);
+  bool operator==(const ZoneShares&) const = default;
+};
+
 struct Rules {
   std::map<std::string, OpRule> op_types;  // none of them says nothing
   int sends_most = INT_MAX;
   bool second_copies = true;
   std::set<std::string> two_phase_off, index_off, withheld;
   std::uint64_t list_floor = 0;
+  ZoneShares zones;
+  std::set<std::string> at_work;  // nodes that are taken out for work, or being so
   bool operator==(const Rules&) const = default;
 
   const OpRule& of(const std::string& op_type) const;
--- a/src/accord/wire.cpp
+++ b/src/accord/wire.cpp
@@ -9,6 +9,7 @@
   into.set_who(v.who);
   into.set_why(v.why);
   into.set_id(v.id);
+  if (!v.note.empty()) into.set_note(v.note);
 }
 
 std::optional<Version> take(const wire::Version& v) {
@@ -16,7 +17,8 @@
     return std::nullopt;
   Version out;
   out.number = v.number();
-  out.text = v.rules(), out.hash = v.hash(), out.who = v.who(), out.why = v.why(), out.id = v.id();
+  out.text = v.rules(), out.hash = v.hash(), out.who = v.who(), out.why = v.why(), out.id = v.id(),
+  out.note = v.note();
   try {
     out.rules = std::make_shared<const Rules>(parse_rules(v.rules(), "version"));
   } catch (const RulesError&) {
--- /dev/null
+++ b/src/broker/account.h
@@ -0,0 +1,22 @@
+// What sends carry, for those who count it.
+#pragma once
+#include "model/node.h"
+
+namespace cairnhub::broker {
+
+// On whose account the bytes of a send go.
+struct Account {
+  int op_type = -1;          // of the settings; -1: of a part that nobody knows any more
+  int zone = -1;             // where the node stood as it was sent; -1: ask where it stands
+  bool over_budget = false;  // it crosses zones though its op type's budget for that is spent
+};
+
+// Bytes that went to a node and came from it, heads and notes among them, as they are handed over and read.
+// What was handed over and never written, as its connection broke, is counted off again.
+struct Carried {
+  NodeId node = 0;
+  Account whose;
+  long long out = 0, in = 0;
+};
+
+}  // namespace cairnhub::broker
--- a/src/broker/book.cpp
+++ b/src/broker/book.cpp
@@ -57,7 +57,7 @@
   return it == parts_.end() ? nullptr : it->second;
 }
 
-void Book::ended(Errand& e, const Result& result) {
+Outcome Book::ended(Errand& e, const Result& result) {
   e.ended = true, e.ended_at = now();
   Part& p = *e.part;
   Query& q = *p.query;
@@ -77,6 +77,7 @@
   e.how = how;
   notes_.push_back({p.id, e.index, how, now() - e.sent_at});
   forget_if_done(q);
+  return how;
 }
 
 bool Book::hand_over() {
--- a/src/broker/hosts.h
+++ b/src/broker/hosts.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "broker/members.h"
 #include "broker/query.h"
@@ -25,6 +26,14 @@
 class Hosts {
  public:
   virtual ~Hosts() = default;
+  // Who counts bytes is told of them; nobody: they aren't counted.
+  using Count = std::function<void(const Carried&)>;
+  virtual void count(Count count) { count_ = std::move(count); }
+  // Asked before what waited for a connection is written. Danger: a process that stood still goes on with its
+  // connection up, and would send what it may no longer.
+  virtual void look(std::function<void()> look) { look_ = std::move(look); }
+  // Closes connections to a node that carry nothing; what the kernel still holds of them goes nowhere.
+  virtual void let_go(NodeId id) = 0;
   // Told each end, exactly once for each send; it must only note it down.
   using Ended = std::function<void(Errand&, const Result&)>;
 
@@ -35,6 +44,10 @@
   virtual void give_up(Errand& errand) = 0;
   virtual void withdraw(Errand& errand) = 0;  // gives it up if nothing of it is begun
   virtual void flush() = 0;                   // what was sent this turn goes out
+
+ protected:
+  Count count_;
+  std::function<void()> look_;
 };
 
 }  // namespace cairnhub::broker
--- a/src/broker/members.cpp
+++ b/src/broker/members.cpp
@@ -44,6 +44,8 @@
       return "a member has no cell";
     entry.cell = cell->get<int>();
     if (const auto f = e.find("flavor"); f != e.end() && f->is_string()) entry.flavor = f->get<std::string>();
+    if (const auto l = e.find("locality"); l != e.end() && l->is_string())
+      entry.locality = l->get<std::string>();
     const double ms = up != e.end() && up->is_number() ? up->get<double>() : up == e.end() ? 0 : -1;
     if (!(ms >= 0 && ms < 9e12)) return "a member's start is not a time";
     entry.started = static_cast<Time>(std::llround(ms * 1e6));
@@ -57,7 +59,7 @@
   revision_ = at;
   if (common_) {
     common_->list_begins(at, whole);
-    for (const auto& e : read) common_->list_node(e.id, e.started, e.state);
+    for (const auto& e : read) common_->list_node(e.id, e.started, e.state, e.locality, e.cell);
     common_->list_ends();
   }
   ++lists_;
@@ -83,7 +85,14 @@
 void Members::tell(Known& k) {
   Entry told = k.entry;
   if (k.withheld && told.state == NodeState::ready) told.state = NodeState::draining;
-  decider_.list_node(k.id, told.state, told.started, told.cell);
+  const int zone = common_ ? common_->zone_of(told.locality) : 0;
+  if (zone != 0)
+    zones_[k.id] = zone;
+  else
+    zones_.erase(k.id);
+  // A node of no known zone is as near as any; what comes of it tells nothing of the own one.
+  const bool known = common_ && zone < static_cast<int>(common_->zones().size());
+  decider_.list_node(k.id, told.state, told.started, told.cell, known ? zone : 0);
   tell_(k.id, told);
 }
 
@@ -104,6 +113,11 @@
   return "";
 }
 
+NodeId Members::id_of(const std::string& name) const {
+  const auto it = known_.find(name);
+  return it == known_.end() ? 0 : it->second.id;
+}
+
 std::vector<std::string> Members::ready_in(int cell) const {
   std::vector<std::string> all;
   for (const auto& [name, k] : known_)
@@ -117,7 +131,13 @@
   return n;
 }
 
+int Members::zone_of(NodeId id) const {
+  const auto it = zones_.find(id);
+  return it == zones_.end() ? 0 : it->second;
+}
+
 void Members::forget(NodeId id) {
+  zones_.erase(id);
   std::erase_if(known_, [&](const auto& known) { return known.second.id == id; });
 }
 
--- a/src/broker/members.h
+++ b/src/broker/members.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "base/address.h"
@@ -17,7 +18,7 @@
 class Members {
  public:
   struct Entry {
-    std::string id, flavor;
+    std::string id, flavor, locality;
     Address address;
     NodeState state;
     Time started;
@@ -39,7 +40,9 @@
     if (common_) common_->list_anew();
   }
   void forget(NodeId id);
-  std::string name_of(NodeId id) const;  // empty where it isn't known
+  int zone_of(NodeId id) const;                 // 0 where it isn't known
+  std::string name_of(NodeId id) const;         // empty where it isn't known
+  NodeId id_of(const std::string& name) const;  // 0 where it isn't known
   // Names of nodes in service, by cell.
   std::vector<std::string> ready_in(int cell) const;
   int ready() const;
@@ -58,6 +61,7 @@
   Tell tell_;
   Common* common_ = nullptr;
   std::map<std::string, Known> known_;
+  std::unordered_map<NodeId, int> zones_;  // of those not in zone 0; looked up, never walked
   NodeId last_id_ = 0;
   bool held_ = false;
   std::uint64_t revision_ = 0, lists_ = 0;
--- a/src/broker/phased.cpp
+++ b/src/broker/phased.cpp
@@ -101,6 +101,16 @@
   derived.need = derived.least = 1;
   mine.again = add(derived);
   mine.fetch = add(derived);
+  limit(op_type, route_.limits(op_type));
+}
+
+void Phased::limit(int op_type, const OpLimits& limits) {
+  const auto it = ops_.find(op_type);
+  if (it == ops_.end()) return;
+  Op& op = *it->second;
+  op.planner.limit(limits.budget_most, limits.least);
+  decider_.limit_op_type(op.match, limits.budget_most, limits.least);
+  for (const int one_block : {op.again, op.fetch}) decider_.limit_op_type(one_block, limits.budget_most, 0);
 }
 
 std::function<void()> Phased::take(const std::string& name, int op_type, bool client_retry,
--- a/src/broker/phased.h
+++ b/src/broker/phased.h
@@ -33,7 +33,9 @@
   // Lets multigets of an op type have two phases; once each, after the settings' own op types. Only retriable
   // ones: a plan may ask a block again.
   void allow(int op_type, const OpType& op, const phases::Terms& terms);
+  void limit(int op_type, const OpLimits& limits);  // as the decider's of that op type
   bool allowed(int op_type) const { return ops_.count(op_type) != 0 && route_.two_phase(op_type); }
+  int op_types() const { return op_types_; }  // of the decider, those of rounds included
   bool holds(const std::string& name) const { return names_.count(name) != 0; }
 
   // Returns what to call should the client leave.
--- a/src/broker/query.h
+++ b/src/broker/query.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "broker/account.h"
 #include "decide.h"
 
 namespace cairnhub::broker {
@@ -45,6 +46,7 @@
   int index = 0;
   Time sent_at = 0, until = 0, ended_at = 0;
   bool ended = false;
+  Account account;            // set where bytes are counted
   Outcome how = Outcome::ok;  // once ended
 };
 
--- a/src/broker/route.cpp
+++ b/src/broker/route.cpp
@@ -23,9 +23,9 @@
             }),
       trace_(std::move(names)) {}
 
-void Route::hold(Common& common, std::function<void()> apply, Time come_back) {
-  common_ = &common, apply_ = std::move(apply), come_back_ = come_back;
-  apply_();
+void Route::hold(Common& common, Held held) {
+  common_ = &common, with_ = std::move(held);
+  with_.apply();
 }
 
 void Route::derived(int op_type, int from) { derived_[op_type] = from; }
@@ -53,19 +53,22 @@
 }
 
 void Route::look() {
-  if (common_ && common_->changed()) apply_();
+  if (!common_) return;
+  if (common_->changed()) with_.apply();
+  with_.refresh();
 }
 
 RequestId Route::arrived(std::unique_ptr<Query> query) {
   Query& q = book_.open(std::move(query));
   if (common_) {
     // What all brokers forbid is turned away before the decider hears of it: nothing of it has been sent.
+    common_->asked(counted_as(q.op_type), q);
     const OpLimits& limits = this->limits(q.op_type);
     int& held = held_[counted_as(q.op_type)];
     const RequestId id = q.id;
     if (!limits.served || held >= limits.held_most) {
       ++held;  // as `end` takes it off again
-      q.client->pushed_back(q, come_back_);
+      q.client->pushed_back(q, with_.come_back);
       end(q);
       return id;
     }
@@ -165,6 +168,7 @@
   e->part = p, e->node = d.node, e->index = static_cast<int>(p->errands.size());
   e->sent_at = now(), e->until = e->sent_at + d.span;
   p->errands.push_back(std::move(e));
+  if (common_) with_.sent(*p->errands.back());
   hosts_.send(*p->errands.back(), d.node);
 }
 
--- a/src/broker/route.h
+++ b/src/broker/route.h
@@ -17,15 +17,23 @@
   Route(event_base* base, Decider& decider, Book& book, Hosts& hosts, std::function<void(NodeId)> forget,
         std::function<bool()> follow_up, Trace::Names names = {});
 
-  // What is held in common with other brokers is asked before anything is done; `apply` follows its changes.
-  // `come_back`: advice to clients whom it turns away; 0: none.
-  void hold(Common& common, std::function<void()> apply, Time come_back);
+  // What is held in common with other brokers is asked before anything is done; `apply` follows its changes,
+  // `refresh` what may change with each send and each byte. `sent` marks each send. `come_back`: advice to
+  // clients whom it turns away; 0: none.
+  struct Held {
+    std::function<void()> apply, refresh;
+    std::function<void(Errand&)> sent;
+    Time come_back = 0;
+  };
+  void hold(Common& common, Held held);
   void derived(int op_type, int from);  // rounds of a plan count as the op type they come from
+  int counted_as(int op_type) const;
   // Ahead of all else that a multiget's op type allows: its limits now.
   const OpLimits& limits(int op_type);
   bool two_phase(int op_type);
   bool index(const std::string& name);
 
+  void look();  // at what is in common
   RequestId arrived(std::unique_ptr<Query> query);
   void abandoned(RequestId query);
   void turn();  // pulls decisions until none is left
@@ -34,8 +42,6 @@
   void carry_out(const Decision& d);
   void send(const Decision& d);
   void end(Query& query);
-  void look();  // at what is in common
-  int counted_as(int op_type) const;
 
   Decider& decider_;
   Book& book_;
@@ -46,8 +52,7 @@
   Timer wake_;
   Trace trace_;
   Common* common_ = nullptr;
-  std::function<void()> apply_;
-  Time come_back_ = 0;
+  Held with_;
   std::map<int, int> derived_;
   std::map<int, int> held_;  // multigets in hand by op type, where something is in common
   bool turning_ = false;
--- a/src/cli/accord.cpp
+++ b/src/cli/accord.cpp
@@ -1,8 +1,5 @@
 #include "cli/accord.h"
 
-#include <event2/buffer.h>
-#include <event2/event.h>
-#include <event2/http.h>
 #include <sodium.h>
 #include <unistd.h>
 
@@ -19,90 +16,13 @@
 #include "accord/engine.h"
 #include "accord/kept.h"
 #include "accord/rules.h"
+#include "cli/operator.h"
 #include "options/options.h"
 
 namespace cairnhub::cli {
 
 namespace {
 
-using json = nlohmann::ordered_json;
-
-enum Exit { kDone = 0, kRefused = 1, kUsage = 2, kNoAnswer = 3, kNotKnown = 4 };
-
-struct Said {
-  std::string options, at, file, who, why, id, name;
-  std::uint64_t number = 0, other = 0, base = 0;
-  bool as_json = false, sure = false, ground = false;
-};
-
-int complain(int status, const std::string& line) {
-  std::fprintf(stderr, "cairnhub: %s\n", line.c_str());
-  return status;
-}
-
-struct Answer {
-  int status = 0;  // 0: none
-  std::string body;
-};
-
-// One request, waited for. `body` empty: a GET.
-Answer ask(const std::string& at, const std::string& path, const std::string& body) {
-  struct State {
-    event_base* base;
-    Answer answer;
-  } state{event_base_new(), {}};
-  const auto colon = at.rfind(':');
-  evhttp_connection* c =
-      evhttp_connection_base_new(state.base, nullptr, at.substr(0, colon).c_str(),
-                                 static_cast<std::uint16_t>(std::atoi(at.substr(colon + 1).c_str())));
-  evhttp_connection_set_timeout(c, 20);
-  evhttp_request* r = evhttp_request_new(
-      [](evhttp_request* got, void* p) {
-        State& s = *static_cast<State*>(p);
-        if (got) {
-          s.answer.status = evhttp_request_get_response_code(got);
-          evbuffer* in = evhttp_request_get_input_buffer(got);
-          s.answer.body.resize(evbuffer_get_length(in));
-          evbuffer_copyout(in, s.answer.body.data(), s.answer.body.size());
-        }
-        event_base_loopbreak(s.base);
-      },
-      &state);
-  evhttp_add_header(evhttp_request_get_output_headers(r), "Host", at.c_str());
-  evhttp_add_header(evhttp_request_get_output_headers(r), "Connection", "close");
-  if (!body.empty()) evbuffer_add(evhttp_request_get_output_buffer(r), body.data(), body.size());
-  if (evhttp_make_request(c, r, body.empty() ? EVHTTP_REQ_GET : EVHTTP_REQ_POST, path.c_str()) == 0)
-    event_base_dispatch(state.base);
-  evhttp_connection_free(c);
-  event_base_free(state.base);
-  return state.answer;
-}
-
-std::string address(const Said& s) {
-  if (!s.at.empty()) return s.at;
-  if (s.options.empty()) return "";
-  const auto o = options::read(s.options);
-  return o.fleet ? o.fleet->operators : "";
-}
-
-std::optional<json> fetch(const Said& s, const char* path, int& status) {
-  const std::string at = address(s);
-  if (at.empty() || at.rfind(':') == std::string::npos) {
-    status = complain(
-        kUsage, "no operators' address: give --at, or --options of a file whose fleet states operators");
-    return std::nullopt;
-  }
-  const Answer a = ask(at, path, "");
-  if (a.status == 0) return status = complain(kNoAnswer, "no answer from " + at), std::nullopt;
-  auto j = json::parse(a.body, nullptr, false);
-  if (a.status != 200 || !j.is_object()) {
-    status = complain(kRefused, j.is_object() && j.contains("error") ? j["error"].get<std::string>()
-                                                                     : "answer " + std::to_string(a.status));
-    return std::nullopt;
-  }
-  return j;
-}
-
 std::string indented(const std::string& text) {
   std::string out;
   for (std::size_t at = 0; at < text.size();) {
@@ -235,34 +155,6 @@
   return kDone;
 }
 
-int propose(const Said& s, const json& what) {
-  const Answer a = ask(address(s), "/accord/propose", what.dump());
-  if (a.status == 0 || a.status == 504) {
-    std::fprintf(stderr, "cairnhub: no verdict; it may yet be taken. Say it again with --id %s\n",
-                 what["id"].get<std::string>().c_str());
-    return kNotKnown;
-  }
-  const auto j = json::parse(a.body, nullptr, false);
-  if (s.as_json) std::printf("%s\n", j.is_object() ? j.dump(2).c_str() : "{}");
-  if (a.status == 200) {
-    if (!s.as_json) std::printf("taken as %llu\n", j["number"].get<unsigned long long>());
-    return kDone;
-  }
-  const std::string why = j.is_object() && j.contains("refused")
-                              ? "refused: " + j["refused"].get<std::string>()
-                          : j.is_object() && j.contains("error") ? j["error"].get<std::string>()
-                                                                 : "answer " + std::to_string(a.status);
-  return complain(kRefused, why);
-}
-
-std::string fresh_id() {
-  unsigned char bytes[8];
-  randombytes_buf(bytes, sizeof bytes);
-  char hex[17];
-  sodium_bin2hex(hex, sizeof hex, bytes, sizeof bytes);
-  return hex;
-}
-
 // `undo_of`: not 0: the rules of that version are proposed anew, on top of the newest.
 int propose_rules(Said s, bool ground, std::uint64_t undo_of) {
   int status = kDone;
@@ -340,31 +232,9 @@
 
 void add_accord(CLI::App& app, int& status) {
   auto said = std::make_shared<Said>();
-  const auto where = [said](CLI::App* c) {
-    c->add_option("--options", said->options, "the operators' options, for their address")
-        ->envname("CAIRNHUB_OPTIONS")
-        ->type_name("FILE");
-    c->add_option("--at", said->at, "the operators' address of a broker")->type_name("ADDRESS");
-    c->add_flag("--json", said->as_json, "JSON instead of text");
-  };
-  const auto run = [said, &status](CLI::App* c, std::function<int()> what) {
-    c->callback([&status, what = std::move(what)] {
-      try {
-        status = sodium_init() < 0 ? complain(kRefused, "no source of random numbers") : what();
-      } catch (const std::exception& e) {
-        status = complain(kRefused, e.what());
-      }
-    });
-  };
-  const auto by = [said](CLI::App* c, bool why) {
-    c->add_option("--who", said->who, "who proposes it")->required();
-    auto* w = c->add_option("--why", said->why, "why");
-    if (why) w->required();
-    c->add_option("--id", said->id, "of a proposal said before, which then counts once");
-  };
   auto* peers = app.add_subcommand("peers", "who the other brokers are, as one of them knows");
-  where(peers);
-  run(peers, [said] { return show_peers(*said); });
+  where(peers, said);
+  run(peers, status, [said] { return show_peers(*said); });
 
   auto* accord = app.add_subcommand("accord", "what brokers agree on");
   accord->require_subcommand(1);
@@ -372,35 +242,35 @@
       "Exit status: 0 done, 1 refused or wrong, 2 unusable arguments, 3 no answer, 4 not known whether it "
       "was taken.");
   auto* st = accord->add_subcommand("status", "what a broker acts on, and what is being waited for");
-  where(st);
-  run(st, [said] { return show_status(*said); });
+  where(st, said);
+  run(st, status, [said] { return show_status(*said); });
   auto* hist = accord->add_subcommand("history", "the versions, oldest first");
-  where(hist);
-  run(hist, [said] { return show_history(*said); });
+  where(hist, said);
+  run(hist, status, [said] { return show_history(*said); });
   auto* d = accord->add_subcommand("diff", "what two versions differ in");
-  where(d);
+  where(d, said);
   d->add_option("A", said->number, "a version")->required();
   d->add_option("B", said->other, "another")->required();
-  run(d, [said] { return diff(*said); });
+  run(d, status, [said] { return diff(*said); });
   auto* p =
       accord->add_subcommand("propose", "make a file of rules the next version, or the next common ground");
-  where(p);
-  by(p, true);
+  where(p, said);
+  by(p, said, true);
   p->add_option("FILE", said->file, "rules in protobuf text")->required();
   p->add_option("--base", said->base, "the version (or ground) it follows; absent: the newest known there");
   p->add_flag("--ground", said->ground, "it is a ground");
-  run(p, [said] { return propose_rules(*said, said->ground, 0); });
+  run(p, status, [said] { return propose_rules(*said, said->ground, 0); });
   auto* u = accord->add_subcommand("undo", "propose the rules of an earlier version anew");
-  where(u);
-  by(u, false);
+  where(u, said);
+  by(u, said, false);
   u->add_option("VERSION", said->number, "whose rules come back")->required();
-  run(u, [said] { return propose_rules(*said, false, said->number); });
+  run(u, status, [said] { return propose_rules(*said, false, said->number); });
   auto* k =
       accord->add_subcommand("strike", "a broker that never comes back: no ground waits for it any more");
-  where(k);
-  by(k, true);
+  where(k, said);
+  by(k, said, true);
   k->add_option("NAME", said->name, "of the broker")->required();
-  run(k, [said] {
+  run(k, status, [said] {
     return propose(*said, {{"kind", "strike"},
                            {"name", said->name},
                            {"who", said->who},
@@ -410,12 +280,12 @@
   auto* i =
       accord->add_subcommand("init", "make a stopped broker's folder one of the first voters'; once each");
   i->add_option("--options", said->options, "its options")->envname("CAIRNHUB_OPTIONS")->required();
-  run(i, [said] { return init(*said); });
+  run(i, status, [said] { return init(*said); });
   auto* r = accord->add_subcommand("recover",
                                    "a majority of voters is gone for good: go on from this folder alone");
   r->add_option("--options", said->options, "its options")->envname("CAIRNHUB_OPTIONS")->required();
   r->add_flag("--a-majority-is-lost", said->sure, "say so");
-  run(r, [said] { return recover(*said); });
+  run(r, status, [said] { return recover(*said); });
 }
 
 }  // namespace cairnhub::cli
--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -10,6 +10,8 @@
 #include "broker/members.h"
 #include "cli/accord.h"
 #include "cli/serve.h"
+#include "cli/upkeep.h"
+#include "cli/zones.h"
 #include "options/options.h"
 #include "server/broker.h"
 #include "talk/seal.h"
@@ -95,6 +97,8 @@
       ->required();
   int accord_status = 0;
   add_accord(app, accord_status);
+  add_zones(app, accord_status);
+  add_upkeep(app, accord_status);
   auto* version_command = app.add_subcommand("version", "print the version");
   try {
     app.parse(argc, argv);
@@ -103,7 +107,9 @@
     std::fprintf(stderr, "cairnhub: %s; see cairnhub --help\n", e.what());
     return 2;
   }
-  if (app.got_subcommand("accord") || app.got_subcommand("peers")) return accord_status;
+  if (app.got_subcommand("accord") || app.got_subcommand("peers") || app.got_subcommand("zones") ||
+      app.got_subcommand("upkeep"))
+    return accord_status;
   if (*version_command) return std::printf("cairnhub %s\n", CAIRNHUB_VERSION), 0;
   if (*check_command) return check(files);
   return serve(config, options);
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -110,23 +110,31 @@
       }
       if (stopped) {
         fleet->leave();
+        fleet->gone();
         fleet.reset();
         event_base_free(base);
         return 0;
       }
     }
     Broker broker(base, config, extras);
-    if (fleet) fleet->attach([&broker] { broker.route().turn(); }, [&broker] { broker.ask_agent(); });
     fronts::two_phase::Front two_phase_front(broker.admit(), broker.phased());
     if (!extras.two_phase.empty()) broker.add(two_phase_front);
     const Around around(broker.members(), config.settings);
     fronts::opensearch::Front search_front(indices, limits, broker.book(), broker.route(), around);
     if (!indices.empty()) broker.add(search_front);
-    const OnSignal stop(base, SIGTERM, [&] {
+    const auto leave = [&] {
       log("stop", "finishing what is in hand");
       if (fleet) fleet->leave();
-      broker.shut_down([base] { event_base_loopexit(base, nullptr); });
-    });
+      broker.shut_down([base, &fleet] {
+        if (fleet) fleet->gone();
+        event_base_loopexit(base, nullptr);
+      });
+    };
+    const OnSignal stop(base, SIGTERM, leave);
+    if (fleet)
+      fleet->attach({[&broker] { broker.route().turn(); }, [&broker] { broker.ask_agent(); },
+                     [&broker](const std::string& node) { return broker.clear(node); },
+                     [&broker] { broker.not_ready(); }, leave});
     // Danger: a file that is missing, half written or wrong. Nothing of it is taken.
     const OnSignal reload(base, SIGHUP, [&] {
       if (fleet) fleet->change_keys();
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -8,7 +8,7 @@
 // replica with the fewest of this broker's calls out, answer on the first n. Beside it stand six mechanisms:
 //   1. Suspects   a node that is silent, breaks, is full or loses parts is left alone; slow ones come later
 //   2. Rescue     a send overdue or dead is made up for by an undrawn part, else a second copy
-//   3. Cold cap   a node that has just started gets no more than it can surely bear
+//   3. Caps       a node that has just started, and other zones, get no more than they can surely bear
 //   4. Pushback   what can't be in time is turned away at once; parts at jammed shards are drawn last
 //   5. Lateness   what no longer earns anything ends at once
 //   6. List       the list is followed and its subscription kept up
@@ -64,6 +64,8 @@
 // Parts of credit that a broker may have saved up for a cold node: what one multiget may bring to a node that
 // holds several of its shards.
 constexpr double kColdSaved = 4;
+// Parts of credit that a broker may have saved up for another zone: likewise.
+constexpr double kZoneSaved = 4;
 // A multiget is turned away when its estimate passes this share of the latency budget left: the most, as the
 // estimate is a mean and the slowest of several parts comes later, and the least that late ones bring it down
 // to. Each late one takes so much of it; each in time or turned away gives so much back: where one in fifteen
@@ -164,7 +166,10 @@
 // least loaded is still asked.
 class Judge {
  public:
-  void add_budget(Time latency_budget) { shortest_budget_ = std::min(shortest_budget_, latency_budget); }
+  void budgets_are(const std::deque<OpType>& op_types) {
+    shortest_budget_ = kNever;
+    for (const OpType& op : op_types) shortest_budget_ = std::min(shortest_budget_, op.latency_budget);
+  }
   Time shortest_budget() const { return shortest_budget_; }
   Time overdue_after(const OpType& op) const {
     return std::max<Time>(2 * op.usual, op.usual + kOverdueDeviations * op.deviation);
@@ -249,11 +254,70 @@
   }
 };
 
+// Nearness, and the other half of mechanism 3. Danger: a zone fails, and all brokers move their share at once
+// to the one that stands next, which falls too; so what crosses gathers credit, as a share of the parts asked
+// for, that all brokers settle among themselves. Also caught: a near zone with more than it bears, told to
+// keep less at home. Harm: while shares are being settled parts may find no holder that is open to them.
+class Nearness {
+ public:
+  void set(std::vector<ZoneLimit> zones, int step, double look_around) {
+    credit_.resize(zones.size(), 0);
+    zones_ = std::move(zones), step_ = step, look_around_ = look_around;
+  }
+  void draw(Part& p, Chance& chance) const {
+    if (zones_.size() < 2 || chance.unit() >= look_around_) return;
+    p.looks_around = true, p.zone = static_cast<int>(chance.below(zones_.size()));
+  }
+  // Of what a multiget asks for, let in or not, and of every copy. Danger: were copies not counted, they
+  // would use up what first sends need, and parts would wait for multigets that never come, as their clients
+  // wait too.
+  void asked(double parts) {
+    for (std::size_t z = 0; z < zones_.size(); ++z)
+      credit_[z] = std::min(std::max(kZoneSaved, parts), credit_[z] + parts * zones_[z].share_most);
+  }
+  // Danger: parts of one multiget are let in on the same credit, and most of them wait while it holds its
+  // client.
+  void tried_out(const Node& n) {
+    if (!zones_.empty()) credit_[static_cast<std::size_t>(n.zone)] -= 1, tried_.push_back(n.zone);
+  }
+  void given_back() {
+    for (const int z : std::exchange(tried_, {})) credit_[static_cast<std::size_t>(z)] += 1;
+  }
+  bool on() const { return !zones_.empty(); }
+  bool allows(const Part& p, const Node& n) const {
+    if (zones_.empty() || n.zone == 0) return true;
+    const auto z = static_cast<std::size_t>(n.zone);
+    return z < zones_.size() && credit_[z] > 0 &&
+           !(p.multiget->op->stays_in_region && zones_[z].other_region);
+  }
+  void sent(const Node& n) {
+    if (zones_.empty()) return;
+    double& credit = credit_[static_cast<std::size_t>(n.zone)];
+    credit = std::max(-kZoneSaved, credit - 1);  // what stayed at home for want of another place isn't owed
+  }
+  // As so many calls does it count that the node stands elsewhere, is slow or suspect where nearness counts.
+  // Danger: a near node that says nothing would be tried by whatever part finds the others busy.
+  int calls(const Part& p, const Node& n, int slower) const {
+    if (zones_.empty() || (p.looks_around && n.zone == p.zone)) return 0;
+    const bool spent = n.zone == 0 && zones_[0].share_most < 1 && credit_[0] <= 0;
+    return (n.zone == p.zone && !n.suspect ? 0 : step_) + (spent ? 2 * step_ : 0) +
+           std::min(slower, 2 * step_);
+  }
+
+ private:
+  std::vector<ZoneLimit> zones_;
+  std::vector<double> credit_;
+  std::vector<int> tried_;
+  int step_ = 0;
+  double look_around_ = 0;
+};
+
 // The gate: every send passes here, and each rule on sends is enforced here alone.
 class Gate {
  public:
   ColdCap cold;
   FurtherSends further;
+  Nearness near;
 
   void set(int sends_a_part, bool second_copies) { most_ = sends_a_part, second_copies_ = second_copies; }
 
@@ -270,7 +334,7 @@
   }
   bool may_send(const Part& p, Node& n, Time now) {
     return may_send(p, now) && n.listed_ready &&             // rule 3: at once, the grace isn't used
-           cold.allows(n, now) &&                            // rule 4
+           cold.allows(n, now) && near.allows(p, n) &&       // rule 4
            (p.sends.empty() || further.within_budget(now));  // rule 6
   }
 
@@ -391,26 +455,36 @@
   }
 
   // The design's pick: fewest of this broker's calls out, ties at random among nodes not known to be slow. A
-  // part that joins a call with room adds none, so that call isn't counted against its node. Suspects come
-  // last, and before them what has answered this part with an error.
+  // part that joins a call with room adds none, so that call isn't counted against its node. What has
+  // answered this part with an error counts as one call more. Suspects come last.
   Node* pick(const Part& p, Time now) {
     Node* best = nullptr;
-    std::tuple<bool, bool, int, int> best_rank;
+    std::tuple<bool, int, int> best_rank;
+    bool shut = false;
     std::size_t ties = 0;
-    for (Node* n : nodes.holders(p.shard)) {
+    const auto& holders = nodes.holders(p.shard);
+    // The budget of what crosses is spent: it gives way only where all near copies of the shard are lost.
+    const bool stays = p.multiget->op->stays_near && std::any_of(holders.begin(), holders.end(), [](auto* n) {
+                         return n->zone == 0 && n->listed_ready && !n->suspect;
+                       });
+    for (Node* n : holders) {
       bool has_it = false, erred = false;  // Danger: one that errs at once looks idle, and would get it again
       for (const auto& s : p.sends)
         if (s->node == n) (s->ended && s->outcome == Outcome::error ? erred : has_it) = true;
-      if (has_it || !gate.may_send(p, *n, now)) continue;
+      if (has_it || (stays && n->zone != 0)) continue;
+      shut = shut || (n->listed_ready && !n->suspect && !gate.near.allows(p, *n));
+      if (!gate.may_send(p, *n, now)) continue;
       // Doubled, so that an open call ranks between the calls before it and one call fewer.
-      const std::tuple rank(judge.shunned(*n, now), erred, 2 * n->calls_out - (joins_call(*n) ? 3 : 0),
-                            steps_slower(*n, now));
+      const int slower = steps_slower(*n, now), calls = n->calls_out + erred + gate.near.calls(p, *n, slower);
+      const std::tuple rank(judge.shunned(*n, now), 2 * calls - (joins_call(*n) ? 3 : 0), slower);
       if (best && rank > best_rank) continue;
       if (!best || rank < best_rank) ties = 0;
       if (chance.below(++ties) == 0) best = n;
       best_rank = rank;
     }
-    return best;
+    // Danger: with live holders elsewhere shut to it for now a part goes to a dead one, and the rest of its
+    // multiget is work for nothing in the zones that live.
+    return shut && std::get<0>(best_rank) ? nullptr : best;
   }
 
   Decision send(Part& p, Node& n, Time now, bool spend) {
@@ -422,10 +496,11 @@
     if (p.sends.empty())
       gate.further.first_send();
     else
-      gate.further.further_send(now);
+      gate.further.further_send(now), gate.near.asked(1);
     if (spend) gate.further.spend();
     if (n.suspect) judge.tried(n, p.multiget->op->usual, now);
     gate.cold.sent(n, now);
+    gate.near.sent(n);
     if (joins_call(n)) {
       s->call = n.out.back()->call;
     } else {
@@ -468,7 +543,9 @@
       const Node* n = pick(*p, now);
       p->expected = n ? estimate(*n, now) : seconds(mg.op->latency_budget);
       order.push_back(p.get());
+      if (n) gate.near.tried_out(*n);
     }
+    gate.near.given_back();
     std::stable_sort(order.begin(), order.end(), [](auto* a, auto* b) { return a->expected < b->expected; });
     double weight = 0;
     for (const Part* p : order)
@@ -483,6 +560,7 @@
     // Queues are kept to what the op type with the shortest budget can pass. Danger: one with a longer budget
     // fills them up to its own, and the other is pushed back for good.
     const double left = seconds(std::min(lateness.budget_ends(mg) - now, judge.shortest_budget()));
+    gate.near.asked(mg.op->need * static_cast<double>(mg.parts.size()));
     const double wait = estimate(mg, now);
     if (wait > pushback.share() * left) {
       pushback.eased();
@@ -511,6 +589,7 @@
       if (weight >= needed(mg) && (margin-- <= 0 || p->expected > limit)) break;
       p->drawn = true;
       weight += p->weight;
+      gate.near.draw(*p, chance);
     }
   }
 
@@ -523,10 +602,13 @@
 
   // False when the part is given up: what is out has gone astray and has had a whole latency budget and an
   // overdue time more, and no further send will be made.
-  bool may_come(const Part& p, Time now) const {
+  bool may_come(const Part& p, Time now) {
     const OpType& op = *p.multiget->op;
     for (const auto& s : p.sends)
       if (!s->ended && (!s->astray || now - s->at < op.latency_budget + judge.overdue_after(op))) return true;
+    // Danger: what was let in and now finds all zones shut to it would wait out its time, and hold its
+    // client.
+    if (p.multiget->admitted && gate.near.on() && !pick(p, now)) return false;
     return gate.may_send(p, now) && (p.ran_never() || time_for_copies(*p.multiget, now));
   }
 
@@ -678,10 +760,29 @@
   // Until something has been seen: a quarter of the latency budget leaves time for one overdue send and a
   // copy.
   mine.usual = op.latency_budget / 4, mine.deviation = mine.usual / 4;
-  impl_->judge.add_budget(op.latency_budget);
+  mine.stated_budget = op.latency_budget, mine.stated_least = op.least;
+  impl_->judge.budgets_are(impl_->op_types);
   impl_->longest_timeout = std::max(impl_->longest_timeout, op.route_timeout);
   impl_->gate.cold.usual_is(mine.usual);
 }
+void Decider::limit_op_type(int op_type, Time budget_most, double least) {
+  OpType& op = impl_->op_types.at(static_cast<std::size_t>(op_type));
+  const Time budget = std::min(op.stated_budget, budget_most);
+  least = std::max(op.stated_least, least);
+  if (budget == op.latency_budget && least == op.least) return;
+  op.latency_budget = budget, op.least = least;
+  impl_->judge.budgets_are(impl_->op_types);
+  impl_->book.look_at_all();  // Danger: what is in hand has asked to be woken by the older budget's end
+}
+void Decider::limit_zones(std::vector<ZoneLimit> zones, int step, double look_around) {
+  impl_->gate.near.set(std::move(zones), step, look_around);
+}
+void Decider::keep_in_region(int op_type, bool stays) {
+  impl_->op_types.at(static_cast<std::size_t>(op_type)).stays_in_region = stays;
+}
+void Decider::keep_near(int op_type, bool stays) {
+  impl_->op_types.at(static_cast<std::size_t>(op_type)).stays_near = stays;
+}
 void Decider::set_layout(int cells, int replicas_in_a_row, int parts_a_call) {
   impl_->nodes.layout(cells, replicas_in_a_row);
   impl_->parts_a_call = std::max(1, parts_a_call);
@@ -711,8 +812,9 @@
   ++impl_->lists;
 }
 
-void Decider::list_node(NodeId id, NodeState state, Time started, int cell) {
+void Decider::list_node(NodeId id, NodeState state, Time started, int cell, int zone) {
   Node& n = impl_->nodes.at(id);
+  n.zone = zone;
   impl_->nodes.place(n, cell);
   n.named_in_list = impl_->lists;
   if (state != NodeState::gone) n.gone_at = kNever;
--- a/src/decide.h
+++ b/src/decide.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "model/multiget.h"
 #include "model/node.h"
@@ -37,6 +38,12 @@
   std::uint64_t token = 0;
 };
 
+// What may be sent to a zone.
+struct ZoneLimit {
+  double share_most = 1;      // of this broker's parts; of its own zone: what it would have at most
+  bool other_region = false;  // than this broker's
+};
+
 class Decider {
  public:
   explicit Decider(std::uint64_t seed);
@@ -57,9 +64,19 @@
   void set_tick(Time tick);
 
   // Inputs.
+  // Holds an op type to less than its settings allow, what is in hand of it included: a latency budget of at
+  // most so much, no answer under so great a share. kNever and 0: as the settings have it.
+  void limit_op_type(int op_type, Time budget_most, double least);
+  // Zones by number, this broker's own the first; none: nearness counts for nothing. A holder elsewhere
+  // counts as if `step` more calls were out at it; the share `look_around` of the parts looks to another zone
+  // first.
+  void limit_zones(std::vector<ZoneLimit> zones, int step, double look_around);
+  void keep_in_region(int op_type, bool stays);
+  // Nothing of it goes to another zone but for shards that have lost all their holders in the own one.
+  void keep_near(int op_type, bool stays);
   void start();
   void list_begins(Time now, bool complete);  // then list_node for each entry, then list_ends
-  void list_node(NodeId id, NodeState state, Time started, int cell);
+  void list_node(NodeId id, NodeState state, Time started, int cell, int zone = 0);
   void list_ends();
   void list_failed(Time now);
   void multiget_arrived(Time now, RequestId id, int op_type, float number, bool client_retry, Time time_left);
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -10,14 +10,16 @@
 #include "accord.pb.h"
 #include "base/clock.h"
 #include "base/log.h"
+#include "broker/query.h"
 #include "peers/codec.h"
+#include "zones/report.h"
 
 namespace cairnhub::fleet {
 
 namespace {
 
 // What a message between brokers is, by its first byte.
-constexpr char kPeers = 'P', kAccord = 'A';
+constexpr char kPeers = 'P', kAccord = 'A', kZones = 'Z', kWorks = 'U';
 // A drain heard goes on to so many at once, and each of them that did not know tells as many. Told so, a
 // share c of all hears of it with c = 1 - exp(-4 c), 0.98 (Kermack and McKendrick); digests on pings tell the
 // rest.
@@ -29,7 +31,7 @@
 
 peers::Terms peer_terms(const options::Fleet& o) {
   peers::Terms t;
-  t.interval = o.probe, t.answer_within = o.answer_within;
+  t.interval = o.probe, t.answer_within = o.answer_within, t.say_again = o.answer_within / 4;
   t.retry_dead = std::min<Time>(kSecond, 2 * o.probe);
   t.exchange_every = 4 * o.probe;
   return t;
@@ -39,6 +41,7 @@
   accord::Terms t;
   t.lease.stated = o.stated, t.lease.drift = o.drift;
   t.voters = o.voters;
+  t.life = randombytes_random();
   t.replace_after = o.replace_after;
   // Elections take a small share of the stated time; under it the first commits after one fit as well.
   const Time ms = kSecond / 1000;
@@ -54,6 +57,30 @@
   return static_cast<std::uint64_t>(t.tv_sec) * 1'000'000'000u + static_cast<std::uint64_t>(t.tv_nsec);
 }
 
+// An op type crosses between regions only where its budget bears it: a first send, and another after it.
+constexpr int kRoundTripsInBudget = 4;
+// Parts in the window of an account that tell something.
+constexpr double kFewParts = 5;
+
+zones::Terms zone_terms(const options::Zones& o) {
+  zones::Terms t;
+  t.home = o.home;
+  for (const auto& z : o.zones) t.zones.push_back({z.name, z.region, z.host_parts_a_second});
+  t.course.confirm = o.confirm, t.course.dwell = o.dwell, t.course.dwell_most = 16 * o.dwell,
+  t.course.step = o.step;
+  t.region_course = t.course;
+  t.region_course.confirm = o.region_confirm, t.region_course.dwell = o.region_dwell,
+  t.region_course.dwell_most = 16 * o.region_dwell;
+  t.fill.headroom = o.headroom, t.fill.ground = o.ground_share;
+  // What is confirmed must rest on several reports.
+  t.report_every = std::max<Time>(o.confirm / 4, kSecond / 20);
+  t.window = 2 * t.report_every, t.evidence.fresh = 3 * t.report_every;
+  t.evidence.few = kFewParts / seconds(t.window);
+  t.wider_after = o.dwell;
+  t.near_step = o.near_step, t.look_around = o.look_around;
+  return t;
+}
+
 const char* name_of(NodeState s) {
   return s == NodeState::ready ? "ready" : s == NodeState::draining ? "draining" : "gone";
 }
@@ -89,8 +116,9 @@
         if (records_) records_->say("set_aside").with("as", aside);
       }
     }
-    accord_ = std::make_unique<accord::Accord>(accord_terms(*o.accord), o.name, store_.get(),
-                                               std::move(ground), seed + 1);
+    accord_ =
+        std::make_unique<accord::Accord>(accord_terms(*o.accord), o.name, store_.get(), std::move(ground),
+                                         seed + 1, std::make_shared<upkeep::Works>());
     std::string text;
     std::uint64_t number = 0;
     if (store_ && store_->ground(text, number)) {
@@ -107,6 +135,7 @@
           .with("id", e.id)
           .with("index", accord_ && accord_->engine() ? accord_->engine()->applied_index() : 0)
           .with("refused", v.refused);
+      if (works_ && e.kind == accord::Entry::Kind::board) works_->applied();
     };
     applied_ = accord_->acting(now());
   } else {
@@ -115,6 +144,31 @@
     applied_ = std::move(none);
   }
   limits_.resize(op_types_.size());
+  stays_in_region_.resize(op_types_.size());
+  warm_after_ = settings.span("rules.cold", 0), cold_from_ = settings.number("rules.cold-from", 1);
+  cells_ = settings.whole("family-info.positions"), width_ = settings.whole("family-info.width");
+  if (o.zones) begin_zones(*o.zones, settings);
+  if (o.upkeep)
+    works_ = std::make_unique<Works>(
+        base, options_, settings, *accord_, peers_, zones_.get(), records_.get(),
+        [this](const std::string& to, const std::string& bytes) { send_to(to, kWorks + bytes); });
+}
+
+void Fleet::begin_zones(const options::Zones& o, const settings::Settings& settings) {
+  zones_ = std::make_unique<zones::Zones>(zone_terms(o), options_.name);
+  const auto ops = settings::op_types(settings);
+  for (const auto& named : ops) needs_.push_back(named.op.need);
+  for (std::size_t i = 0; i < ops.size(); ++i)
+    stays_in_region_[i] = std::count(o.stay_in_region.begin(), o.stay_in_region.end(), ops[i].name) > 0 ||
+                          ops[i].op.latency_budget < kRoundTripsInBudget * o.region_round_trip;
+  if (!accord_) alone_ = std::make_unique<accord::Versions>();
+  crossing_ = std::make_unique<zones::Crossing>(o.crossing_saved, ops.size());
+  crossing_stated_.assign(ops.size(), zones::kNoBudget);
+  for (const auto& [name, most] : o.crossing)
+    for (std::size_t i = 0; i < ops.size(); ++i)
+      if (ops[i].name == name) crossing_stated_[i] = static_cast<double>(most);
+  limit_crossing();
+  take_zones();
 }
 
 Fleet::~Fleet() = default;
@@ -131,10 +185,6 @@
   return !accord_ || accord_->ever_answered() || now() - started_at_ >= options_.accord->start_wait;
 }
 
-void Fleet::attach(std::function<void()> changed, std::function<void()> ask_agent) {
-  changed_ = std::move(changed), ask_agent_ = std::move(ask_agent);
-}
-
 void Fleet::change_keys() {
   try {
     talk_.change(talk::read_keys(options_.key_file));
@@ -150,12 +200,18 @@
   if (accord_) accord_->leave(now());
   if (records_) records_->say("leaves").with("low", std::uint64_t{0});
   pump();
+}
+
+// Danger: a machine is handed over for work once its brokers are gone; one that said so as it began to finish
+// what it has in hand would lose that with the machine.
+void Fleet::gone() {
+  if (records_) records_->say("gone");
   peers_.leave(now());
   pump();
 }
 
 void Fleet::heard(const std::string& from, std::string_view body) {
-  if (body.empty() || left_) return;
+  if (body.empty() || (left_ && body.front() != kPeers)) return;
   const char kind = body.front();
   body.remove_prefix(1);
   if (kind == kPeers) {
@@ -166,6 +222,10 @@
   } else if (kind == kAccord && accord_) {
     accord::wire::Packet p;
     if (p.ParseFromArray(body.data(), static_cast<int>(body.size()))) accord_->received(now(), from, p);
+  } else if (kind == kWorks && works_) {
+    works_->heard(now(), program_, from, body);
+  } else if (kind == kZones && zones_) {
+    if (auto r = zones::decode(body)) zones_->heard(now(), from, std::move(*r));
   }
   pump();
 }
@@ -224,10 +284,10 @@
   }
 }
 
-void Fleet::send_accord(const std::string& to, const std::string& bytes) {
+void Fleet::send_to(const std::string& to, const std::string& bytes) {
   const auto& all = peers_.members();
   const auto it = all.find(to);
-  if (it != all.end()) talk_.send(to, it->second.address(), kAccord + bytes);
+  if (it != all.end()) talk_.send(to, it->second.address(), bytes);
 }
 
 // Sends what the packages have to say, and follows what changed, until nothing is left.
@@ -248,17 +308,19 @@
           .with("name", c->name)
           .with("from", peers::name_of(c->from))
           .with("to", peers::name_of(c->to));
+    if (zones_ && c->to != peers::Health::alive && c->to != peers::Health::suspect) zones_->gone(c->name);
+    if (works_ && c->to != peers::Health::alive && c->to != peers::Health::suspect) works_->gone(c->name);
     if (accord_) accord_->peer(at, c->name, c->to == peers::Health::alive || c->to == peers::Health::suspect);
   }
+  while (auto name = peers_.forgotten()) talk_.forget(*name);
   if (accord_) {
-    while (auto o = accord_->send()) send_accord(o->to, o->bytes);
+    if (zones_) turn_zones();
+    if (works_) works_->turn(at, program_, *applied_, listed_, hearsay_.own());
+    keep_ground();
+    while (auto o = accord_->send()) send_to(o->to, kAccord + o->bytes);
     note_lease();
-    const auto& ground = accord_->holder().ground();
-    if (ground.number > kept_ground_ && !accord_->holder().ground_next()) {
-      kept_ground_ = ground.number;
-      if (store_) store_->keep_ground(ground.text, ground.number);
-      if (records_) records_->say("keeps").with("ground", ground.number);
-    }
+  } else if (zones_) {
+    turn_alone();
   }
   // Danger: the agent's answer may be what is being read; to ask anew would free its connection under it.
   if (may_turn) look_behind();
@@ -267,13 +329,15 @@
     next = std::min(next, accord_->wake());
     if (accord_->holder().until() > at) next = std::min(next, accord_->holder().until());
   }
+  if (zones_) next = std::min(next, std::max(zones_->wake(), at + 1));
+  if (works_) next = std::min(next, std::max(works_->wake(), at + 1));
   if (behind_since_ != kNever)
     next = std::min(next, std::max(behind_since_ + kBehindFor, asked_agent_at_ + kAskAgentEvery));
   if (next != kNever) wake_.start(std::max<Time>(0, next - now()));
-  const bool news = !in_list_ && changed_ &&
+  const bool news = !in_list_ && program_.changed &&
                     (hearsay_seen_ != hearsay_now_ || (accord_ && accord_->acting(now()) != applied_));
   pumping_ = false;
-  if (news && may_turn) changed_();
+  if (news && may_turn) program_.changed();
 }
 
 void Fleet::woken() {
@@ -283,6 +347,21 @@
   pump();
 }
 
+// Before anything is said to others. Danger: a broker that has told the leader that it keeps to the next
+// ground, and starts anew from a folder that holds the last one alone, would act on more than the versions
+// allow that were made since. What it keeps to while the next one waits, the meet of both, goes by the older
+// one's number: it then asks for both again.
+void Fleet::keep_ground() {
+  const auto& holder = accord_->holder();
+  const auto& ground = holder.ground();
+  const std::uint64_t next = holder.ground_next() ? holder.ground_next()->number : 0;
+  if (ground.number == kept_ground_ && next == kept_next_) return;
+  const bool newer = ground.number > kept_ground_ && !next;
+  kept_ground_ = std::max(kept_ground_, ground.number), kept_next_ = next;
+  if (store_) store_->keep_ground(accord::text_of(holder.grounded()), ground.number);
+  if (newer && records_) records_->say("keeps").with("ground", ground.number);
+}
+
 // For the auditor: from when until when this broker may act on what.
 void Fleet::note_lease() {
   if (!records_) return;
@@ -301,6 +380,140 @@
       .with("until", monotonic() + static_cast<std::uint64_t>(until - at));
 }
 
+std::optional<zones::Report> Fleet::look_at_zones(Time at) {
+  if (at < zones_->wake()) return std::nullopt;
+  count_hosts();
+  return zones_->report(at);
+}
+
+// Without an accord: from its own evidence, for itself, in force at once.
+void Fleet::turn_alone() {
+  const Time at = now();
+  if (!look_at_zones(at)) return;
+  auto e = zones_->lead(at, *alone_);
+  if (!e) return;
+  log("zones", "%s", e->why.c_str());
+  if (records_) records_->say("zones").with("why", e->why).with("note", e->note).with("id", e->id);
+  const bool ground = e->kind == accord::Entry::Kind::propose_ground;
+  e->number = alone_->apply(*e).number;
+  e->kind = ground ? accord::Entry::Kind::force_ground : accord::Entry::Kind::force;
+  alone_->apply(*e);
+  const accord::Version& newest = alone_->all().rbegin()->second;
+  auto acting = std::make_shared<accord::Acting>();
+  acting->rules = newest.rules, acting->low = acting->high = newest.number;
+  applied_ = std::move(acting);
+  take_zones();
+}
+
+// Tells the voters what was seen of zones, and where this broker leads, proposes what follows from it all.
+void Fleet::turn_zones() {
+  const Time at = now();
+  const auto report = look_at_zones(at);
+  if (!report) return;
+  std::set<std::string> to(options_.accord->voters.begin(), options_.accord->voters.end());
+  if (const auto& leader = accord_->leader(); !leader.empty())
+    to.insert(leader);  // it may have come to vote later
+  to.erase(options_.name);
+  const std::string bytes = kZones + zones::encode(*report);
+  for (const auto& name : to) send_to(name, bytes);
+  const auto* engine = accord_->engine();
+  if (!engine || !engine->leads()) return zones_->leads_no_more();
+  if (auto e = zones_->lead(at, engine->versions())) {
+    log("zones", "%s", e->why.c_str());
+    if (records_) records_->say("zones").with("why", e->why).with("note", e->note).with("id", e->id);
+    accord_->propose(at, std::move(*e), [](const auto&) {});
+  }
+}
+
+// What is acted on of zones: the rules, and the note of the newest version that a lease is held on.
+void Fleet::take_zones() {
+  const accord::Version* newest = nullptr;
+  if (alone_) {
+    newest = &alone_->all().rbegin()->second;
+  } else if (applied_->high) {
+    const auto& held = accord_->holder().versions();
+    const auto it = held.find(applied_->high);
+    if (it != held.end()) newest = &it->second;
+  }
+  zone_limits_ = zones_->limits(*applied_->rules, newest ? &newest->note : nullptr);
+  shares_new_ = true;
+  if (!records_) return;
+  std::string text;
+  for (std::size_t z = 0; z < zone_limits_.size(); ++z)
+    text += (z ? " " : "") + zones_->name_of(static_cast<int>(z)) + "=" +
+            std::to_string(static_cast<int>(1000 * zone_limits_[z].share_most + 0.5));
+  records_->say("zone_limits").with("high", applied_->high).with("shares", text);
+}
+
+// Hosts in service by zone, and what they are worth: a cold one its present share.
+void Fleet::count_hosts() {
+  const Time at = now();
+  std::map<std::string, std::pair<int, double>> by_zone;
+  std::vector<bool> near(static_cast<std::size_t>(cells_), false);
+  for (const auto& [name, s] : listed_) {
+    if (!s.ready) continue;
+    if (s.zone == zones_->terms().home && s.cell < cells_ && !withheld(name, s.started))
+      near[static_cast<std::size_t>(s.cell)] = true;
+    auto& [hosts, worth] = by_zone[s.zone];
+    const Time age = at - s.started;
+    ++hosts;
+    worth += s.started == 0 || warm_after_ <= 0 || age >= warm_after_
+                 ? 1
+                 : cold_from_ + (1 - cold_from_) * std::max(0.0, seconds(age) / seconds(warm_after_));
+  }
+  zones_->hosts(by_zone);
+  // Shard s is held by the nodes in cells s to s + width - 1.
+  far_shards_.assign(near.size(), true);
+  for (int s = 0; s < cells_; ++s)
+    for (int j = 0; j < width_; ++j)
+      if (near[static_cast<std::size_t>((s + j) % cells_)]) far_shards_[static_cast<std::size_t>(s)] = false;
+}
+
+bool Fleet::stays_in_region(int op_type) const {
+  return stays_in_region_.at(static_cast<std::size_t>(op_type));
+}
+
+// A node of no known zone is not known to be elsewhere.
+int Fleet::counted_zone(int zone) const { return zone < static_cast<int>(zone_limits_.size()) ? zone : 0; }
+
+bool Fleet::sent(int zone, int op_type) {
+  return crossing_ && crossing_->sent(now(), counted_zone(zone), op_type);
+}
+
+void Fleet::ended(const broker::Account& whose, NodeId node, Outcome how, Time latency) {
+  if (!zones_) return;
+  zones_->ended(now(), zones_->name_of(whose.zone), node, how, latency);
+  crossing_->ended(counted_zone(whose.zone), whose.op_type, whose.over_budget);
+}
+
+void Fleet::carried(const broker::Carried& what) {
+  if (crossing_)
+    crossing_->carried(now(), counted_zone(what.whose.zone), what.whose.op_type, what.whose.over_budget,
+                       what.out, what.in);
+}
+
+bool Fleet::stays_near(int op_type) { return crossing_->spent(now(), op_type); }
+
+// As the options state and as the rules allow, whichever is less.
+void Fleet::limit_crossing() {
+  for (std::size_t i = 0; i < op_types_.size(); ++i) {
+    const std::int64_t most = applied_->rules->of(op_types_[i]).crossing_most;
+    crossing_->limit(
+        now(), static_cast<int>(i),
+        std::min(crossing_stated_[i], most == INT64_MAX ? zones::kNoBudget : static_cast<double>(most)));
+  }
+}
+
+void Fleet::asked(int op_type, const broker::Query& query) {
+  if (!zones_) return;
+  std::size_t far = 0;
+  for (const auto& p : query.parts)
+    far += static_cast<std::size_t>(p->shard) < far_shards_.size() &&
+           far_shards_[static_cast<std::size_t>(p->shard)];
+  const double need = needs_.at(static_cast<std::size_t>(op_type));
+  zones_->asked(now(), need * static_cast<double>(query.parts.size()), need * static_cast<double>(far));
+}
+
 void Fleet::look_behind() {
   const Time at = now();
   if (!hearsay_.behind() || hearsay_.own() == 0) {
@@ -308,25 +521,26 @@
     return;
   }
   if (behind_since_ == kNever) behind_since_ = at;
-  if (at - behind_since_ < kBehindFor || at - asked_agent_at_ < kAskAgentEvery || !ask_agent_) return;
+  if (at - behind_since_ < kBehindFor || at - asked_agent_at_ < kAskAgentEvery || !program_.ask_agent) return;
   asked_agent_at_ = at;
   log("fleet", "the list in hand, revision %llu, is behind %llu that others hold: the agent is asked anew",
       static_cast<unsigned long long>(hearsay_.own()), static_cast<unsigned long long>(hearsay_.newest()));
   if (records_) records_->say("behind").with("own", hearsay_.own()).with("newest", hearsay_.newest());
-  ask_agent_();
+  program_.ask_agent();
 }
 
 bool Fleet::changed() {
   const bool heard = hearsay_seen_ != hearsay_now_;
   hearsay_seen_ = hearsay_now_;
-  if (!accord_) return heard;
+  if (!accord_) return std::exchange(shares_new_, false) || heard;
   const auto& acting = accord_->acting(now());
   if (acting == applied_) return heard;
   applied_ = acting;
   for (std::size_t i = 0; i < op_types_.size(); ++i) {
     const auto& r = applied_->rules->of(op_types_[i]);
-    limits_[i] = {r.served, r.time_most, r.held_most};
+    limits_[i] = {r.served, r.time_most, r.held_most, r.budget_most, r.least_share};
   }
+  if (zones_) limit_crossing(), take_zones();
   if (records_)
     records_->say("acts")
         .with("low", applied_->low)
@@ -346,15 +560,22 @@
 
 bool Fleet::withheld(const std::string& node, Time started) const {
   return (options_.share_lists && hearsay_.withheld(node, started)) ||
-         applied_->rules->withheld.count(node) != 0;
+         applied_->rules->withheld.count(node) != 0 || applied_->rules->at_work.count(node) != 0;
 }
 
 void Fleet::list_begins(std::uint64_t revision, bool whole) {
   in_list_ = true;
   if (records_) records_->say("list").with("revision", revision).with("whole", whole);
   hearsay_.begins(revision, whole);
+  ++lists_, list_whole_ = whole;
 }
-void Fleet::list_node(const std::string& node, Time started, NodeState state) {
+void Fleet::list_node(const std::string& node, Time started, NodeState state, const std::string& locality,
+                      int cell) {
+  if (state == NodeState::gone)
+    listed_.erase(node);
+  else if (zones_ || works_)
+    listed_[node] = {zones_ ? zones_->name_of(zones_->number_of(locality)) : locality, cell, started,
+                     state == NodeState::ready, lists_};
   hearsay_.node(node, started, state == NodeState::ready, state == NodeState::gone);
   if (!records_) return;
   if (state != NodeState::ready) {
@@ -365,14 +586,19 @@
   }
 }
 void Fleet::list_ends() {
-  hearsay_.ends();
+  for (const auto& node : hearsay_.ends())
+    if (records_) records_->say("told").with("node", node).with("state", "gone"), told_.insert(node);
+  if (list_whole_) std::erase_if(listed_, [&](const auto& s) { return s.second.named_in != lists_; });
   in_list_ = false;
   // Danger: a turn now would act on the list in hand, of which hearsay no longer withholds anything, before
   // the new one has reached the decider. Whoever takes the list follows what changed, and turns, once it is
   // in.
   pump(false);
 }
-void Fleet::list_anew() { hearsay_.anew(); }
+void Fleet::list_anew() {
+  hearsay_.anew();
+  listed_.clear();
+}
 
 void Fleet::propose(accord::Entry entry, accord::Accord::Done done) {
   if (!accord_) return done(std::nullopt);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -3,7 +3,9 @@
 // nothing.
 #pragma once
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -13,11 +15,14 @@
 #include "accord/kept.h"
 #include "base/timer.h"
 #include "broker/common.h"
+#include "fleet/works.h"
 #include "options/options.h"
 #include "peers/peers.h"
 #include "records/records.h"
 #include "settings/settings.h"
 #include "talk/talk.h"
+#include "zones/crossing.h"
+#include "zones/zones.h"
 
 namespace cairnhub::fleet {
 
@@ -31,10 +36,10 @@
   void start();
   // It may open its door: there are no versions, the leader has answered, or the wait stated is over.
   bool ready();
-  // Told when what is acted on may have changed, and when the own agent should be asked anew.
-  void attach(std::function<void()> changed, std::function<void()> ask_agent);
+  void attach(Program program) { program_ = std::move(program); }
   void change_keys();  // reads the key file anew; a bad one changes nothing and is logged
-  void leave();        // in good order: lease, lead and membership
+  void leave();        // in good order: lease and lead, before it finishes what is in hand
+  void gone();         // membership, as the last thing said: others hold it for running until then
 
   // Common.
   bool changed() override;
@@ -46,9 +51,21 @@
   bool withheld(const std::string& node, Time started) const override;
   std::uint64_t list_floor() const override { return applied_->rules->list_floor; }
   void list_begins(std::uint64_t revision, bool whole) override;
-  void list_node(const std::string& node, Time started, NodeState state) override;
+  void list_node(const std::string& node, Time started, NodeState state, const std::string& locality,
+                 int cell) override;
   void list_ends() override;
   void list_anew() override;
+  const std::vector<ZoneLimit>& zones() const override { return zone_limits_; }
+  int zone_step() const override { return zones_ ? zones_->terms().near_step : 0; }
+  double look_around() const override { return zones_ ? zones_->terms().look_around : 0; }
+  int zone_of(const std::string& locality) const override { return zones_ ? zones_->number_of(locality) : 0; }
+  bool stays_in_region(int op_type) const override;
+  bool sent(int zone, int op_type) override;
+  void ended(const broker::Account& whose, NodeId node, Outcome how, Time latency) override;
+  void carried(const broker::Carried& what) override;
+  void asked(int op_type, const broker::Query& query) override;
+  bool budgets() const override { return crossing_ && crossing_->any(); }
+  bool stays_near(int op_type) override;
 
   // For the operators' address.
   const options::Fleet& options() const { return options_; }
@@ -56,6 +73,11 @@
   const accord::Hearsay& hearsay() const { return hearsay_; }
   const talk::Talk& talk() const { return talk_; }
   accord::Accord* accord() { return accord_.get(); }
+  const Works* works() const { return works_.get(); }
+  const zones::Zones* zone_part() const { return zones_.get(); }
+  const accord::Versions* alone() const { return alone_.get(); }  // where it decides of zones alone
+  const zones::Crossing* crossing() const { return crossing_.get(); }
+  const std::vector<std::string>& op_types() const { return op_types_; }
   void propose(accord::Entry entry, accord::Accord::Done done);
 
  private:
@@ -65,9 +87,18 @@
   void woken();
   void tell_lists(const std::vector<accord::Notice>& notices, const std::string& to);
   std::string lists_digest() const;
-  void send_accord(const std::string& to, const std::string& bytes);
+  void send_to(const std::string& to, const std::string& bytes);
+  void begin_zones(const options::Zones& options, const settings::Settings& settings);
+  void keep_ground();
   void note_lease();
   void look_behind();
+  std::optional<zones::Report> look_at_zones(Time at);
+  void turn_zones();
+  void turn_alone();
+  void take_zones();
+  void limit_crossing();
+  int counted_zone(int zone) const;
+  void count_hosts();
 
   options::Fleet options_;
   std::vector<std::string> op_types_;
@@ -78,14 +109,29 @@
   std::unique_ptr<accord::Accord> accord_;
   talk::Talk talk_;
   Timer wake_;
-  std::function<void()> changed_, ask_agent_;
+  Program program_;
   std::shared_ptr<const accord::Acting> applied_;
   std::vector<broker::OpLimits> limits_;
-  std::uint64_t hearsay_seen_ = 0, hearsay_now_ = 0, kept_ground_ = 0;
+  std::unique_ptr<zones::Zones> zones_;
+  std::unique_ptr<Works> works_;
+  std::unique_ptr<accord::Versions> alone_;  // of zones, where there is no accord: a book of its own
+  std::unique_ptr<zones::Crossing> crossing_;
+  std::vector<double> crossing_stated_;  // bytes a second, by op type
+  std::vector<ZoneLimit> zone_limits_;
+  std::vector<bool> stays_in_region_;  // by op type
+  std::map<std::string, Listed> listed_;
+  int cells_ = 0, width_ = 0;
+  std::vector<bool> far_shards_;  // that have no holder in service in the own zone
+  std::vector<double> needs_;     // share of its parts that an op type needs
+  Time warm_after_ = 0;
+  double cold_from_ = 1;
+  std::uint64_t lists_ = 0;
+  bool list_whole_ = false;
+  std::uint64_t hearsay_seen_ = 0, hearsay_now_ = 0, kept_ground_ = 0, kept_next_ = 0;
   Time started_at_ = 0, behind_since_ = kNever, asked_agent_at_ = 0, asked_lists_at_ = 0, noted_until_ = 0;
   std::uint64_t noted_low_ = 0, noted_high_ = 0;
   std::set<std::string> told_;  // nodes recorded as taking nothing new
-  bool in_list_ = false, pumping_ = false, left_ = false;
+  bool in_list_ = false, pumping_ = false, left_ = false, shares_new_ = false;
 };
 
 }  // namespace cairnhub::fleet
--- a/src/fleet/operators.cpp
+++ b/src/fleet/operators.cpp
@@ -3,11 +3,14 @@
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <time.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "upkeep/plan.h"
 
 namespace cairnhub::fleet {
 
@@ -68,6 +71,14 @@
     return reply(r, 404, text({{"error", "this broker's options state no accord"}}));
   if (get && path == "/accord/status") return reply(r, 200, status());
   if (get && path == "/accord/history") return reply(r, 200, history());
+  if (get && path == "/upkeep") {
+    if (!fleet_.works()) return reply(r, 404, text({{"error", "this broker's options state no upkeep"}}));
+    return reply(r, 200, works());
+  }
+  if (path == "/zones" && !fleet_.zone_part())
+    return reply(r, 404, text({{"error", "this broker's options state no zones"}}));
+  if (get && path == "/zones") return reply(r, 200, zones());
+  if (get && path == "/zones/crossing" && fleet_.crossing()) return reply(r, 200, crossing());
   if (!get && path == "/accord/propose") return propose(r);
   reply(r, 404, text({{"error", "no such path"}}));
 }
@@ -142,6 +153,186 @@
   return text(out);
 }
 
+// Every broker tells what it acts on; the evidence stands at the leader.
+std::string Operators::zones() const {
+  const auto& z = *fleet_.zone_part();
+  // Without an accord it decides for itself, from a book of its own.
+  const accord::Versions* own = fleet_.alone();
+  const auto s = own ? accord::Status{} : fleet_.accord()->status(now());
+  const auto& held = own ? own->all() : fleet_.accord()->holder().versions();
+  const auto at = held.find(own ? own->newest() : s.acting.high);
+  const accord::Rules& rules = own ? *at->second.rules : *s.acting.rules;
+  json acts = json::object(), states = json::object(), shares = json::array(), seen = json::array(),
+       orders = json::object();
+  const auto& limits = fleet_.zones();
+  for (std::size_t i = 0; i < limits.size(); ++i)
+    acts[z.name_of(static_cast<int>(i))] = static_cast<int>(1000 * limits[i].share_most + 0.5);
+  if (at != held.end())
+    for (const auto& note = zones::parse_note(at->second.note);
+         const auto* all : {&note.zones, &note.regions})
+      for (const auto& [name, one] : *all)
+        states[all == &note.zones ? name : zones::region_key(name)] = {{"state", zones::name_of(one.state)},
+                                                                       {"share", one.share}};
+  for (const auto& [pair, most] : rules.zones.most)
+    shares.push_back({{"from", pair.first}, {"to", pair.second}, {"most", most}});
+  json out{{"name", fleet_.options().name},
+           {"home", z.terms().home},
+           {"leader", s.leader},
+           {"leads", s.leads || own},
+           {"version", own ? own->newest() : s.acting.high},
+           {"why", at == held.end() ? "" : at->second.why},
+           {"acts_on", acts},
+           {"states", states},
+           {"otherwise", rules.zones.otherwise},
+           {"shares", shares}};
+  if (!s.leads && !own) return text(out);
+  for (const auto& e : z.explain())
+    seen.push_back({{"zone", e.zone},
+                    {"state", zones::name_of(e.state)},
+                    {"share", e.share},
+                    {"ordered", e.ordered},
+                    {"looks", zones::name_of(e.view.look)},
+                    {"why", e.view.why},
+                    {"wanted", e.view.wanted},
+                    {"load", e.view.load},
+                    {"capacity", e.view.capacity},
+                    {"hosts", e.view.hosts},
+                    {"brokers", e.view.brokers}});
+  json cut = json::array();
+  for (const auto& [from, to] : z.view().cut) cut.push_back({{"from", from}, {"to", to}});
+  for (const auto& [zone, o] : (own ? *own : fleet_.accord()->engine()->versions()).orders())
+    orders[zone] = {{"what", o.what}, {"who", o.who}, {"why", o.why}};
+  out["seen"] = seen, out["cut"] = cut, out["outvoted"] = z.view().outvoted, out["orders"] = orders;
+  out["next"] = z.why();
+  return text(out);
+}
+
+// Parts and bytes between this broker and each zone, by op type, and what is left of the budgets.
+std::string Operators::crossing() const {
+  const auto& z = *fleet_.zone_part();
+  const auto& c = *fleet_.crossing();
+  const auto& names = fleet_.op_types();
+  json table = json::array(), budgets = json::array();
+  for (const auto& [key, t] : c.table())
+    table.push_back({{"zone", z.name_of(key.first)},
+                     {"crosses", key.first != 0},
+                     {"op_type", key.second < 0 ? "" : names.at(static_cast<std::size_t>(key.second))},
+                     {"parts", t.parts},
+                     {"out", t.out},
+                     {"in", t.in},
+                     {"parts_over_budget", t.parts_over},
+                     {"bytes_over_budget", t.over}});
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    const auto b = c.budget(now(), static_cast<int>(i));
+    if (b.a_second == zones::kNoBudget) continue;
+    budgets.push_back({{"op_type", names[i]},
+                       {"bytes_a_second", b.a_second},
+                       {"left", static_cast<long long>(b.left)},
+                       {"a_send", static_cast<long long>(b.a_send)},
+                       {"sends_out", b.sends_out},
+                       {"spent", c.spent(now(), static_cast<int>(i))}});
+  }
+  return text(
+      {{"name", fleet_.options().name}, {"home", z.terms().home}, {"table", table}, {"budgets", budgets}});
+}
+
+// The works as the log has them, and at the leader what each waits for and when it is to begin.
+std::string Operators::works() const {
+  const auto s = fleet_.accord()->status(now());
+  const auto* book = fleet_.works()->book();
+  json out{{"name", fleet_.options().name}, {"leader", s.leader}, {"leads", s.leads && book}};
+  if (!s.leads || !book) return text(out);
+  const auto& waits = fleet_.works()->conduct().waits();
+  json works = json::array(), plan = json::array(), nodes = json::array();
+  for (const auto& [n, w] : book->all()) {
+    const auto it = waits.find(n);
+    std::string why = it == waits.end() ? "" : it->second;
+    if (w.step == upkeep::Step::queued && why.empty()) why = book->forbids(w.request, n);
+    works.push_back({{"number", n},
+                     {"machine", w.request.machine},
+                     {"step", upkeep::name_of(w.step)},
+                     {"held", w.held},
+                     {"since_ms", w.since / upkeep::kMs},
+                     {"last", w.last},
+                     {"waits", why},
+                     {"who", w.who},
+                     {"why", w.why},
+                     {"nodes", w.request.nodes},
+                     {"brokers", w.request.brokers},
+                     {"zone", w.request.zone},
+                     {"region", w.request.region},
+                     {"rack", w.request.rack},
+                     {"endangers", w.open() ? json(book->endangers(w.request)) : json::array()}});
+  }
+  // As every voter makes it from the same entries: as of the facts said last.
+  for (const auto& p : upkeep::plan(*book, book->facts_at())) {
+    const auto& w = book->all().at(p.work);
+    plan.push_back({{"work", p.work},
+                    {"machine", w.request.machine},
+                    {"start_ms", p.start == kNever ? 0 : p.start / upkeep::kMs},
+                    {"length_ms", (w.request.length + book->facts().terms.around) / upkeep::kMs},
+                    {"in_time", p.in_time}});
+  }
+  const std::set<std::string> out_nodes = book->out_nodes();
+  for (const auto& [name, n] : book->facts().nodes)
+    nodes.push_back({{"name", name},
+                     {"cell", n.cell},
+                     {"zone", n.zone},
+                     {"ready", n.ready},
+                     {"warm", n.warm},
+                     {"out", out_nodes.count(name) != 0}});
+  out["held"] = book->held(), out["works"] = works, out["plan"] = plan;
+  out["facts"] = {{"revision", book->facts().revision},
+                  {"cells", book->facts().cells},
+                  {"width", book->facts().width},
+                  {"holders_least", book->facts().terms.holders_least},
+                  {"nodes", nodes}};
+  return text(out);
+}
+
+// What an operator says of works, as the log's entry has it; none where it is not well formed.
+std::optional<std::string> Operators::work_op(const nlohmann::json& j) {
+  upkeep::Op op;
+  timespec t{};
+  clock_gettime(CLOCK_REALTIME, &t);
+  op.at = static_cast<Time>(t.tv_sec) * kSecond + t.tv_nsec;
+  const auto number = [&](const char* name) -> std::optional<std::uint64_t> {
+    const auto it = j.find(name);
+    if (it == j.end() || !it->is_number_unsigned()) return std::nullopt;
+    return it->get<std::uint64_t>();
+  };
+  op.hold = number("hold"), op.resume = number("resume"), op.cancel = number("cancel"),
+  op.done = number("done");
+  if (const auto r = j.find("request"); r != j.end() && r->is_object()) {
+    upkeep::Request request;
+    const auto word = [&](const char* name, std::string& into) {
+      if (const auto it = r->find(name); it != r->end() && it->is_string()) into = it->get<std::string>();
+    };
+    const auto words = [&](const char* name, std::vector<std::string>& into) {
+      if (const auto it = r->find(name); it != r->end() && it->is_array())
+        for (const auto& x : *it)
+          if (x.is_string()) into.push_back(x.get<std::string>());
+    };
+    const auto ms_of = [&](const char* name, Time& into) {
+      if (const auto it = r->find(name); it != r->end() && it->is_number())
+        into = static_cast<Time>(std::clamp(it->get<double>(), 0.0, 4e12)) * upkeep::kMs;
+    };
+    word("machine", request.machine), word("rack", request.rack), word("zone", request.zone);
+    word("region", request.region), words("nodes", request.nodes), words("brokers", request.brokers);
+    ms_of("earliest_ms", request.earliest), ms_of("latest_ms", request.latest);
+    ms_of("length_ms", request.length);
+    if (const auto p = r->find("priority"); p != r->end() && p->is_number_integer())
+      request.priority = static_cast<int>(std::clamp<std::int64_t>(p->get<std::int64_t>(), -1000, 1000));
+    if (const auto e = r->find("emergency"); e != r->end() && e->is_boolean())
+      request.emergency = e->get<bool>();
+    op.request = std::move(request);
+  }
+  const int said = op.request.has_value() + op.hold.has_value() + op.resume.has_value() +
+                   op.cancel.has_value() + op.done.has_value();
+  if (said != 1) return std::nullopt;
+  return upkeep::encode(op);
+}
+
 // A proposal whose answer is awaited; its asker may leave before.
 struct Operators::Waiting {
   evhttp_request* request;
@@ -167,10 +358,22 @@
     e.kind = accord::Entry::Kind::propose_ground;
   else if (kind == "strike")
     e.kind = accord::Entry::Kind::strike;
+  else if (kind == "order")
+    e.kind = accord::Entry::Kind::order;
+  else if (kind == "work")
+    e.kind = accord::Entry::Kind::board;
   else
-    return reply(r, 400, text({{"error", "kind is neither version, ground nor strike"}}));
-  e.id = field("id"), e.text = field("rules"), e.name = field("name"), e.who = field("who"),
-  e.why = field("why");
+    return reply(r, 400, text({{"error", "kind is neither version, ground, strike, order nor work"}}));
+  e.text = field("rules");
+  if (e.kind == accord::Entry::Kind::board) {
+    const auto op = work_op(j);
+    if (!op)
+      return reply(
+          r, 400,
+          text({{"error", "of a work one thing must be said: request, hold, resume, cancel or done"}}));
+    e.text = *op;
+  }
+  e.id = field("id"), e.name = field("name"), e.who = field("who"), e.why = field("why");
   if (e.id.empty() || e.id.size() > 64 || e.who.empty() || e.who.size() > 256 || e.why.empty() ||
       e.why.size() > 1024)
     return reply(r, 400, text({{"error", "id, who and why must be stated, and short"}}));
--- a/src/fleet/operators.h
+++ b/src/fleet/operators.h
@@ -2,11 +2,13 @@
 // proposals. HTTP and JSON for `cairnhub accord` and `cairnhub peers`; on an address of its own, never the
 // clients' one.
 //
-//   GET /accord/status, /accord/history, /peers
+//   GET /accord/status, /accord/history, /peers, /zones, /zones/crossing, /upkeep
 //   POST /accord/propose {"kind":"version"|"ground"|"strike","rules","name","base","who","why","id"}
 //     200 {"number":N} taken, 409 {"refused":"..."}, 504 not known within its time
 #pragma once
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -32,6 +34,10 @@
   static void reply(evhttp_request* r, int status, const std::string& body);
   std::string status() const;
   std::string history() const;
+  std::string zones() const;
+  std::string crossing() const;
+  std::string works() const;
+  static std::optional<std::string> work_op(const nlohmann::json& said);
   std::string peers() const;
 
   Fleet& fleet_;
--- /dev/null
+++ b/src/fleet/works.h
@@ -0,0 +1,80 @@
+// Works on machines at one broker, on the event loop: what it has out at nodes that are taken out, told to
+// the leader; where it leads, what it sees told to the conduct, and what the conduct says to the log; and its
+// own leaving, where its machine is taken out. Decides nothing.
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "accord/accord.h"
+#include "base/timer.h"
+#include "options/options.h"
+#include "peers/peers.h"
+#include "records/records.h"
+#include "settings/settings.h"
+#include "upkeep/conduct.h"
+#include "zones/zones.h"
+
+namespace cairnhub::fleet {
+
+// What the program does for the fleet.
+struct Program {
+  std::function<void()> changed;                 // what is acted on may have changed
+  std::function<void()> ask_agent;               // for the whole list, at once
+  std::function<int(const std::string&)> clear;  // sends out at a node; none: its connections are closed
+  std::function<void()> not_ready;               // its health fails from now on
+  std::function<void()> stop;                    // as SIGTERM
+};
+
+// A node as the own list has it.
+struct Listed {
+  std::string zone;  // empty: none that is stated
+  int cell = 0;
+  Time started = 0;
+  bool ready = false;
+  std::uint64_t named_in = 0;
+};
+
+class Works {
+ public:
+  // `send` sends bytes to a broker by name.
+  using Send = std::function<void(const std::string& to, const std::string& bytes)>;
+  Works(event_base* base, const options::Fleet& options, const settings::Settings& settings,
+        accord::Accord& accord, const peers::Peers& peers, const zones::Zones* zones, Records* records,
+        Send send);
+
+  Time wake() const { return conduct_.wake(); }
+  // `acted`: what the core acts on; `listed`: the own list's nodes, of that revision.
+  void turn(Time now, const Program& program, const accord::Acting& acted,
+            const std::map<std::string, Listed>& listed, std::uint64_t revision);
+  void heard(Time now, const Program& program, const std::string& from, std::string_view bytes);
+  void gone(const std::string& broker) { conduct_.gone(broker); }
+  void applied();  // an entry on works was: its steps are recorded
+
+  // For operators. The works as this broker's log has them; null where it runs none.
+  const upkeep::Works* book() const;
+  const upkeep::Conduct& conduct() const { return conduct_; }
+
+ private:
+  upkeep::Facts see(Time now, const std::map<std::string, Listed>& listed, std::uint64_t revision) const;
+  void stand_down(const Program& program, std::uint64_t work);
+
+  const options::Fleet& options_;
+  accord::Accord& accord_;
+  const peers::Peers& peers_;
+  const zones::Zones* zones_;
+  Records* records_;
+  Send send_;
+  upkeep::Conduct conduct_;
+  int cells_, width_;
+  Time warm_after_;
+  std::map<std::uint64_t, upkeep::Step> recorded_;  // works by their last recorded step
+  Timer leaves_;
+  std::function<void()> stop_;
+  bool standing_down_ = false;
+};
+
+}  // namespace cairnhub::fleet
--- a/src/fronts/http/take_in.cpp
+++ b/src/fronts/http/take_in.cpp
@@ -276,7 +276,8 @@
   if (const char* wrong = framing(r)) return reply->answer(400, "", std::string(wrong) + "\n");
   const char* stated = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(r));
   const std::string_view path = stated ? stated : "";
-  if (path == "/_health") return reply->answer(200, "", "ready\n");
+  if (path == "/_health")
+    return ready_ ? reply->answer(200, "", "ready\n") : reply->answer(503, "", "leaving\n");
   const auto front =
       std::find_if(fronts_.begin(), fronts_.end(), [&](const Front* f) { return f->takes(path); });
   const bool post = evhttp_request_get_command(r) == EVHTTP_REQ_POST;
--- a/src/fronts/http/take_in.h
+++ b/src/fronts/http/take_in.h
@@ -38,6 +38,7 @@
          Route& route);
   ~TakeIn();
 
+  void not_ready() { ready_ = false; }           // whoever asks for its health is told so
   void last_answers();                           // from now on each answer ends its connection
   void close_door();                             // accepts no more and lets idle connections go
   bool quiet() const { return doors_.empty(); }  // every answer is written
@@ -66,7 +67,7 @@
   std::vector<Front*> fronts_;
   std::vector<bufferevent*> fresh_;  // accepted in this turn of the loop; held until they get their doors
   std::map<evhttp_connection*, std::unique_ptr<Door>> doors_;
-  bool paused_ = false, last_answers_ = false, closed_ = false;
+  bool paused_ = false, last_answers_ = false, closed_ = false, ready_ = true;
 };
 
 }  // namespace cairnhub::broker
--- a/src/hosts/frames/frame.h
+++ b/src/hosts/frames/frame.h
@@ -18,6 +18,7 @@
  public:
   void add(std::string_view id, int shard, Time wait, std::string_view text);
   std::string finish() const;
+  std::size_t size() const { return rest_.size(); }  // of the parts so far, without what goes before them
 
  private:
   std::string rest_;
--- a/src/hosts/frames/sender.cpp
+++ b/src/hosts/frames/sender.cpp
@@ -46,12 +46,22 @@
 };
 
 struct Sender::Link {
+  struct GivenUp {
+    std::size_t name;  // hashed
+    Account whose;
+  };
+  struct Span {  // handed over, and maybe not written yet; only where bytes are counted
+    std::uint64_t ends;
+    std::size_t size;
+    Account whose;
+  };
   Sender* sender = nullptr;
   Node* node = nullptr;
   Address to;
   bufferevent* bev = nullptr;
   bool up = false;
-  std::uint64_t handed = 0;  // bytes, over its life
+  std::uint64_t handed = 0;   // bytes, over its life
+  std::uint64_t spanned = 0;  // of them, those that spans were made of
   std::list<std::unique_ptr<Call>> waiting, under_way;
   std::unordered_map<std::string_view, OnWay*> out;  // by name at the node; looked up, never walked
   std::unique_ptr<Timer> limit;                      // to connect, then to be idle
@@ -60,11 +70,15 @@
   Time counted = 0;                                  // its last good frame, or silence counted up to here
   Time silence = 0;                                  // waited in vain since the last good frame
   int in_vain = 0;                                   // sends given up since then
-  std::deque<std::size_t> given_up;                  // hashes of names, oldest first
+  std::deque<GivenUp> given_up;                      // oldest first
+  std::deque<Span> spans;                            // oldest first
   std::string answered;                              // the last name
 
-  bool was_given_up(std::string_view name) const {
-    return std::find(given_up.begin(), given_up.end(), std::hash<std::string_view>{}(name)) != given_up.end();
+  const GivenUp* was_given_up(std::string_view name) const {
+    const auto it =
+        std::find_if(given_up.begin(), given_up.end(),
+                     [h = std::hash<std::string_view>{}(name)](const auto& g) { return g.name == h; });
+    return it == given_up.end() ? nullptr : &*it;
   }
   // Danger: a connection that is dead while its node is not, as after a spoilt answer or a cut: each send on
   // it would be lost, and the node look hung for good. Harm: a slow node pays for a handshake now and then.
@@ -81,6 +95,7 @@
 };
 
 struct Sender::Node {
+  NodeId id = 0;
   std::string name;
   Address address;
   std::vector<std::unique_ptr<Link>> links;
@@ -98,7 +113,7 @@
 void Sender::node(NodeId id, const std::string& name, const Address& address, NodeState state) {
   auto& slot = nodes_[id];
   if (!slot) slot = std::make_unique<Node>();
-  slot->name = name, slot->address = address;
+  slot->id = id, slot->name = name, slot->address = address;
   if (state == NodeState::ready) return;
   // Rule 3. Danger: a frame that waits for its connection would go out long after the node said it drains.
   std::vector<OnWay*> withdrawn = slot->this_turn;
@@ -116,6 +131,19 @@
   nodes_.erase(it);
 }
 
+void Sender::let_go(NodeId id) {
+  const auto it = nodes_.find(id);
+  if (it == nodes_.end()) return;
+  std::vector<Link*> idle;
+  for (auto& link : it->second->links)
+    if (link->calls() == 0) idle.push_back(link.get());
+  for (Link* link : idle) {
+    const linger at_once{1, 0};
+    setsockopt(bufferevent_getfd(link->bev), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    break_off(*link, nullptr);
+  }
+}
+
 void Sender::send(Errand& errand, NodeId to) {
   Node& n = *nodes_.at(to);
   auto& way = ways_[&errand] = std::make_unique<OnWay>();
@@ -211,7 +239,13 @@
         });
       },
       [](bufferevent*, void* at) {
-        guarded("node write", [l = static_cast<Link*>(at)] { l->sender->write(*l); });
+        guarded("node write", [l = static_cast<Link*>(at)] {
+          Sender* s = l->sender;
+          const bool looks = s->look_ && !l->waiting.empty();
+          if (looks) s->look_();
+          s->write(*l);
+          if (looks) s->turn_();
+        });
       },
       [](bufferevent*, short what, void* at) {
         guarded("node event", [l = static_cast<Link*>(at), s = static_cast<Link*>(at)->sender, what] {
@@ -233,6 +267,7 @@
     const int on = 1;
     setsockopt(bufferevent_getfd(link.bev), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     bufferevent_enable(link.bev, EV_READ | EV_WRITE);
+    if (look_) look_();
     return write(link);
   }
   break_off(link, what & BEV_EVENT_EOF ? "ended by the node" : link.up ? "reset" : "refused");
@@ -245,22 +280,36 @@
     std::unique_ptr<Call> call = std::move(link.waiting.front());
     link.waiting.pop_front();
     frame::Call bytes;
+    std::vector<std::size_t> upto;  // of the parts' bytes, where they are counted
     for (OnWay* way : call->parts) {
       const Part& p = *way->errand->part;
       bytes.add(p.name, p.shard, way->errand->until - now(),
                 p.target.empty() ? (p.text ? *p.text : p.query->text)
                                  : p.target + "\n" + (p.text ? *p.text : p.query->text));
       link.out[p.name] = way;
+      if (count_) upto.push_back(bytes.size());
     }
     const std::string all = bytes.finish();
     call->ends = link.handed += all.size();
     bufferevent_write(link.bev, all.data(), all.size());
+    // What goes before them all counts as the first one's.
+    for (std::size_t i = 0; i < upto.size(); ++i)
+      handed_over(link, *call->parts[i]->errand,
+                  i > 0 ? upto[i] - upto[i - 1] : upto[0] + all.size() - bytes.size());
     link.under_way.push_back(std::move(call));
   }
   if (link.calls() == 0 && !link.limit->pending())
     link.limit->start(limits_.idle_at_most), link.idle_since = now();
 }
 
+// Counts them, and remembers what may never be written.
+void Sender::handed_over(Link& link, const Errand& errand, std::size_t bytes) {
+  if (!count_) return;
+  count_({link.node->id, errand.account, static_cast<long long>(bytes), 0});
+  while (!link.spans.empty() && link.spans.front().ends <= link.written()) link.spans.pop_front();
+  link.spans.push_back({link.spanned += bytes, bytes, errand.account});
+}
+
 void Sender::readable(Link& link) {
   evbuffer* input = bufferevent_get_input(link.bev);
   for (;;) {
@@ -284,7 +333,13 @@
   const auto ended = frame::read(bytes);
   if (!ended) return bytes[0] == 'F' ? "node can't use a frame" : "a malformed frame";
   const auto it = link.out.find(ended->id);
-  const bool given_up = link.was_given_up(ended->id);
+  const Link::GivenUp* given_up = link.was_given_up(ended->id);
+  if (count_) {
+    const Account whose = it != link.out.end() ? it->second->errand->account
+                          : given_up           ? given_up->whose
+                                               : Account{};
+    count_({link.node->id, whose, 0, static_cast<long long>(bytes.size() + frame::kLengthBytes)});
+  }
   // One for a part that is over crosses its give-up, or is a second copy: ordinary, dropped. Danger: one for
   // a part of nobody stands for one that waits, and the node says nothing more here.
   if (it == link.out.end()) return given_up || ended->id == link.answered ? nullptr : "a part of nobody";
@@ -319,7 +374,9 @@
     const std::string bytes = frame::give_up(way.errand->part->name);
     way.link->handed += bytes.size();
     bufferevent_write(way.link->bev, bytes.data(), bytes.size());
-    way.link->given_up.push_back(std::hash<std::string_view>{}(way.errand->part->name));
+    handed_over(*way.link, *way.errand, bytes.size());
+    way.link->given_up.push_back(
+        {std::hash<std::string_view>{}(way.errand->part->name), way.errand->account});
     if (way.link->given_up.size() > kGivenUpMost) way.link->given_up.pop_front();
     way.link->waited_in_vain(way.errand->sent_at);
   }
@@ -359,6 +416,11 @@
     for (auto& call : *calls)
       for (OnWay* way : call->parts) lost.emplace_back(way, reached(*way));
   for (auto& [way, far] : lost) finish(*way, {how, far, {}});
+  const std::uint64_t out = link.written();
+  for (const Link::Span& s : link.spans)
+    if (s.ends > out)
+      count_({link.node->id, s.whose, -static_cast<long long>(std::min<std::uint64_t>(s.size, s.ends - out)),
+              0});
   bufferevent_free(link.bev);
   --open_;
   std::erase_if(link.node->links, [&](const auto& l) { return l.get() == &link; });
--- a/src/hosts/frames/sender.h
+++ b/src/hosts/frames/sender.h
@@ -8,9 +8,9 @@
 #include <string_view>
 #include <vector>
 
+#include "base/timer.h"
 #include "broker/hosts.h"
 #include "broker/query.h"
-#include "base/timer.h"
 
 namespace cairnhub::broker {
 
@@ -27,6 +27,7 @@
 
   void node(NodeId id, const std::string& name, const Address& address, NodeState state) override;
   void forget(NodeId id) override;
+  void let_go(NodeId id) override;
   void send(Errand& errand, NodeId to) override;
   void give_up(Errand& errand) override;
   void withdraw(Errand& errand) override;
@@ -49,6 +50,7 @@
   void finish(OnWay& way, const Result& result);
   void stop(OnWay& way, End why);
   Reached reached(const OnWay& way) const;
+  void handed_over(Link& link, const Errand& errand, std::size_t bytes);
 
   event_base* base_;
   SendLimits limits_;
--- a/src/hosts/search/searcher.cpp
+++ b/src/hosts/search/searcher.cpp
@@ -34,6 +34,7 @@
   evhttp_request* request = nullptr;
   Way* way = nullptr;
   std::size_t to_write = 0, written = 0;  // of the request in hand
+  std::size_t came = 0;                   // for it, where bytes are counted
   int error = -1;                         // what the library said of it
   Time idle_since = 0;
 
@@ -41,6 +42,9 @@
     Link& l = *static_cast<Link*>(at);
     l.to_write += info->n_added, l.written += info->n_deleted;
   }
+  static void counts_in(evbuffer*, const evbuffer_cb_info* info, void* at) {
+    static_cast<Link*>(at)->came += info->n_added;
+  }
   bool wholly_written() const { return to_write > 0 && written >= to_write; }
   Reached reached() const {
     return to_write == 0 || written == 0 ? Reached::never_connected
@@ -50,6 +54,7 @@
 };
 
 struct Searcher::Node {
+  NodeId id = 0;
   std::string name, host;
   std::uint16_t port = 0;
   std::vector<std::unique_ptr<Link>> links;
@@ -93,7 +98,7 @@
   const bool six = address.at.ss_family == AF_INET6;
   evutil_inet_ntop(address.at.ss_family, six ? static_cast<const void*>(&in6->sin6_addr) : &in->sin_addr,
                    text, sizeof text);
-  n.name = name, n.host = text, n.port = ntohs(six ? in6->sin6_port : in->sin_port);
+  n.id = id, n.name = name, n.host = text, n.port = ntohs(six ? in6->sin6_port : in->sin_port);
   if (state == NodeState::ready) return;
   // Rule 3. Danger: what waits for a free connection would be sent long after the node said it drains.
   std::vector<Way*> withdrawn(n.waiting.begin(), n.waiting.end());
@@ -110,6 +115,15 @@
   nodes_.erase(it);
 }
 
+void Searcher::let_go(NodeId id) {
+  const auto it = nodes_.find(id);
+  if (it == nodes_.end()) return;
+  std::vector<Link*> idle;
+  for (auto& link : it->second->links)
+    if (!link->way) idle.push_back(link.get());
+  for (Link* link : idle) drop(*link);
+}
+
 void Searcher::send(Errand& errand, NodeId to) {
   Node& n = *nodes_.at(to);
   auto& way = ways_[&errand] = std::make_unique<Way>();
@@ -154,6 +168,9 @@
   evhttp_connection_set_retries(link->connection, 0);
   evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(link->connection)), Link::counts,
                   link.get());
+  if (count_)
+    evbuffer_add_cb(bufferevent_get_input(evhttp_connection_get_bufferevent(link->connection)),
+                    Link::counts_in, link.get());
   ++open_;
   n.links.push_back(std::move(link));
   return n.links.back().get();
@@ -162,7 +179,7 @@
 void Searcher::begin(Way& way, Link& link) {
   const Part& p = *way.errand->part;
   way.link = &link, link.way = &way;
-  link.to_write = link.written = 0, link.error = -1;
+  link.to_write = link.written = link.came = 0, link.error = -1;
   link.request = evhttp_request_new(
       [](evhttp_request* r, void* at) {
         guarded("search answer", [l = static_cast<Link*>(at), r] {
@@ -250,6 +267,9 @@
   std::erase(way.node->this_turn, &way);
   std::erase(way.node->waiting, &way);
   if (way.link) {
+    if (count_)
+      count_({way.node->id, way.errand->account, static_cast<long long>(way.link->written),
+              static_cast<long long>(way.link->came)});
     way.link->way = nullptr, way.link->idle_since = now();
     if (!sweep_.pending()) sweep_.start(limits_.idle_at_most / 4 + 1);
   }
@@ -263,6 +283,7 @@
   if (link.request) evhttp_cancel_request(std::exchange(link.request, nullptr));
   bufferevent* bev = evhttp_connection_get_bufferevent(link.connection);
   evbuffer_remove_cb(bufferevent_get_output(bev), Link::counts, &link);
+  if (count_) evbuffer_remove_cb(bufferevent_get_input(bev), Link::counts_in, &link);
   bufferevent_disable(bev, EV_READ | EV_WRITE);
   if (const int fd = bufferevent_getfd(bev); fd >= 0) shutdown(fd, SHUT_RDWR);
   --open_;
--- a/src/hosts/search/searcher.h
+++ b/src/hosts/search/searcher.h
@@ -16,8 +16,8 @@
 #include <memory>
 #include <vector>
 
-#include "broker/hosts.h"
 #include "base/timer.h"
+#include "broker/hosts.h"
 
 struct evhttp_connection;
 struct evhttp_request;
@@ -38,6 +38,7 @@
 
   void node(NodeId id, const std::string& name, const Address& address, NodeState state) override;
   void forget(NodeId id) override;
+  void let_go(NodeId id) override;
   void send(Errand& errand, NodeId to) override;
   void give_up(Errand& errand) override;
   void withdraw(Errand& errand) override;
@@ -88,6 +89,9 @@
   void give_up(Errand& errand) override { of(errand.node).give_up(errand); }
   void withdraw(Errand& errand) override { of(errand.node).withdraw(errand); }
   void flush() override { frames_.flush(), search_.flush(); }
+  void look(std::function<void()> look) override { frames_.look(look), search_.look(std::move(look)); }
+  void let_go(NodeId id) override { of(id).let_go(id); }
+  void count(Count count) override { frames_.count(count), search_.count(std::move(count)); }
 
  private:
   Hosts& of(NodeId id) {
--- a/src/model/book.h
+++ b/src/model/book.h
@@ -32,6 +32,9 @@
     mg.queued = true;
     agenda_.push_back(&mg);
   }
+  void look_at_all() {
+    for (auto& [number, mg] : by_number_) look_at(*mg);
+  }
   Multiget* first() const { return agenda_.empty() ? nullptr : agenda_.front(); }
   void looked_at_first() {
     Multiget& mg = *agenda_.front();
--- a/src/model/multiget.h
+++ b/src/model/multiget.h
@@ -43,8 +43,10 @@
   int shard = 0;
   int step = 1;
   double weight = 0;
-  double expected = 0;  // seconds its answer was expected to take when it came
-  bool drawn = false;   // asked for; undrawn parts stay unsent
+  double expected = 0;        // seconds its answer was expected to take when it came
+  bool drawn = false;         // asked for; undrawn parts stay unsent
+  int zone = 0;               // that it looks to first
+  bool looks_around = false;  // and so that it is known what stands there
   bool returned = false;
   bool over = false;  // no send may follow
   std::vector<std::unique_ptr<Send>> sends;
--- a/src/model/node.h
+++ b/src/model/node.h
@@ -31,6 +31,7 @@
   Time started = 0;                 // latest start; 0 = long past
   std::uint64_t named_in_list = 0;  // number of the last list that named it
   int cell = 0;
+  int zone = 0;           // 0: this broker's own
   Time gone_at = kNever;  // when the list took it away; kNever = it's listed
 
   // Out.
--- a/src/model/op_type.h
+++ b/src/model/op_type.h
@@ -17,6 +17,12 @@
   double least = 1;          // share of weight under which no answer may be given
   double partial_share = 0;  // what an answer from less than `need` earns, times share / need
   int second_step_parts = 0;
+  bool stays_in_region = false;
+  bool stays_near = false;  // for the moment: but for shards that have lost all their near holders
+
+  // As stated; the two above may be held to less for a while.
+  Time stated_budget = 0;
+  double stated_least = 1;
 
   // Seen: smoothed latency of a part and its mean deviation.
   Time usual = 0;
--- a/src/options/options.cpp
+++ b/src/options/options.cpp
@@ -1,14 +1,15 @@
 #include "options/options.h"
 
-#include <google/protobuf/io/tokenizer.h>
 #include <google/protobuf/io/zero_copy_stream_impl_lite.h>
 #include <google/protobuf/text_format.h>
 
+#include <algorithm>
 #include <cmath>
 #include <fstream>
 #include <iterator>
 #include <set>
 
+#include "base/first_error.h"
 #include "options.pb.h"
 
 namespace cairnhub::options {
@@ -17,16 +18,6 @@
 
 using google::protobuf::TextFormat;
 
-struct FirstError : google::protobuf::io::ErrorCollector {
-  const std::string& file;
-  std::string text;
-  explicit FirstError(const std::string& f) : file(f) {}
-  void AddError(int line, int column, const std::string& message) override {
-    if (text.empty())
-      text = file + ":" + std::to_string(line + 1) + ":" + std::to_string(column + 1) + ": " + message;
-  }
-};
-
 // One message with where its fields stand.
 struct Checked {
   const std::string& file;
@@ -36,7 +27,9 @@
 
   int line_of(const char* field) const {
     const auto* d = message.GetDescriptor()->FindFieldByName(field);
-    const int at = tree->GetLocation(d, -1).line;
+    // Danger: the library ends the reading where a field that may stand often is asked for without an index.
+    if (d->is_repeated() && message.GetReflection()->FieldSize(message, d) == 0) return line;
+    const int at = tree->GetLocation(d, d->is_repeated() ? 0 : -1).line;
     return at < 0 ? line : at + 1;
   }
   [[noreturn]] void complain(const char* field, const std::string& allowed) const {
@@ -150,6 +143,69 @@
   return out;
 }
 
+Zones zones(const Checked& at, const schema::Zones& m) {
+  Zones out;
+  out.line = at.line;
+  out.home = m.home();
+  const auto* field = m.GetDescriptor()->FindFieldByName("zone");
+  std::set<std::string> names;
+  for (int i = 0; i < m.zone_size(); ++i) {
+    const auto& z = m.zone(i);
+    const Checked here{at.file, z, at.tree->GetTreeForNested(field, i),
+                       at.tree->GetLocation(field, i).line + 1};
+    if (!broker_name(z.name())) here.complain("name", kName);
+    if (z.has_region() && !broker_name(z.region())) here.complain("region", kName);
+    if (!names.insert(z.name()).second) here.complain("name", "stands twice");
+    if (z.has_host_parts_a_second()) here.within("host_parts_a_second", z.host_parts_a_second(), 0.1, 1e7);
+    out.zones.push_back({z.name(), z.region(), z.host_parts_a_second()});
+  }
+  if (m.zone_size() < 2 || m.zone_size() > 64)
+    at.complain("zone", "stands " + std::to_string(m.zone_size()) + " times; allowed are 2 to 64");
+  if (!names.count(out.home))
+    at.complain("home", "is \"" + out.home + "\"; allowed is one of the zones stated");
+  out.ground_share = static_cast<int>(at.within("ground_share", m.ground_share(), 0U, 200U));
+  out.headroom = at.within("headroom", m.headroom(), 0.0, 0.9);
+  out.near_step = static_cast<int>(at.within("near_step", m.near_step(), 0U, 1000U));
+  out.look_around = at.within("look_around", m.look_around(), 0.0, 0.1);
+  out.confirm = ms(at.within("confirm_ms", m.confirm_ms(), 100U, 60000U));
+  out.dwell = ms(at.within("dwell_ms", m.dwell_ms(), 500U, 3600000U));
+  out.step = ms(at.within("step_ms", m.step_ms(), 100U, 600000U));
+  out.region_round_trip = ms(at.within("region_round_trip_ms", m.region_round_trip_ms(), 0U, 60000U));
+  out.stay_in_region = {m.stay_in_region().begin(), m.stay_in_region().end()};
+  out.region_confirm = m.has_region_confirm_ms()
+                           ? ms(at.within("region_confirm_ms", m.region_confirm_ms(), 100U, 600000U))
+                           : out.confirm;
+  out.region_dwell = m.has_region_dwell_ms()
+                         ? ms(at.within("region_dwell_ms", m.region_dwell_ms(), 500U, 3600000U))
+                         : 2 * out.dwell;
+  out.crossing_saved = ms(at.within("crossing_saved_ms", m.crossing_saved_ms(), 100U, 600000U));
+  std::set<std::string> budgets;
+  for (const auto& c : m.crossing()) {
+    if (!c.has_bytes_a_second()) at.complain("crossing", "states no bytes_a_second");
+    if (!budgets.insert(c.op_type()).second) at.complain("crossing", "\"" + c.op_type() + "\" stands twice");
+    out.crossing.emplace_back(c.op_type(), c.bytes_a_second());
+  }
+  return out;
+}
+
+Upkeep upkeep(const Checked& at, const schema::Upkeep& m) {
+  Upkeep out;
+  const auto count = [&](const char* field, std::uint32_t n, std::uint32_t least) {
+    return static_cast<int>(at.within(field, n, least, 1000U));
+  };
+  out.holders_least = count("holders_least", m.holders_least(), 0);
+  out.at_once = count("at_once", m.at_once(), 1), out.a_rack = count("a_rack", m.a_rack(), 1);
+  out.a_zone = count("a_zone", m.a_zone(), 1), out.a_region = count("a_region", m.a_region(), 1);
+  out.zone_keep = at.within("zone_keep", m.zone_keep(), 0.0, 1.0);
+  out.headroom = at.within("headroom", m.headroom(), 0.0, 0.9);
+  out.lost_after = ms(at.within("lost_after_ms", m.lost_after_ms(), 1000U, 604800000U));
+  out.around = ms(at.within("around_ms", m.around_ms(), 0U, 86400000U));
+  out.notice = ms(at.within("notice_ms", m.notice_ms(), 0U, 600000U));
+  out.look = ms(at.within("look_ms", m.look_ms(), 10U, 10000U));
+  out.stop_on_loss = m.stop_on_loss();
+  return out;
+}
+
 Fleet fleet(const schema::Fleet& m, TextFormat::ParseInfoTree& tree, const schema::Options& outer,
             const std::string& file) {
   const auto* field = outer.GetDescriptor()->FindFieldByName("fleet");
@@ -186,6 +242,18 @@
       if (v != out.name && !names.count(v))
         here.complain("voter", "\"" + v + "\" is neither this broker nor a stated peer");
   }
+  if (m.has_zones()) {
+    const auto* f = m.GetDescriptor()->FindFieldByName("zones");
+    const Checked here{file, m.zones(), in->GetTreeForNested(f, -1), in->GetLocation(f, -1).line + 1};
+    out.zones = zones(here, m.zones());
+  }
+  if (m.has_upkeep()) {
+    const auto* f = m.GetDescriptor()->FindFieldByName("upkeep");
+    const Checked here{file, m.upkeep(), in->GetTreeForNested(f, -1), in->GetLocation(f, -1).line + 1};
+    if (!m.has_accord())
+      at.complain("upkeep", "is stated, but no accord; allowed is upkeep beside an accord");
+    out.upkeep = upkeep(here, m.upkeep());
+  }
   return out;
 }
 
@@ -196,6 +264,15 @@
     throw OptionError(
         options.file + ":" + std::to_string(options.fleet->line) +
         ": fleet is stated, but the settings' ceilings.peers forbids brokers to talk to each other");
+  if (!options.fleet || !options.fleet->zones) return;
+  const auto all = settings::op_types(settings);
+  const auto known = [&](const char* field, const std::string& name) {
+    if (std::none_of(all.begin(), all.end(), [&](const auto& op) { return op.name == name; }))
+      throw OptionError(options.file + ":" + std::to_string(options.fleet->zones->line) + ": " + field +
+                        " is '" + name + "'; allowed is an op type of the settings");
+  };
+  for (const auto& name : options.fleet->zones->stay_in_region) known("stay_in_region", name);
+  for (const auto& [name, ignored] : options.fleet->zones->crossing) known("crossing", name);
 }
 
 Options read(const std::string& file) {
@@ -208,11 +285,11 @@
   schema::Options message;
   TextFormat::Parser parser;
   TextFormat::ParseInfoTree tree;
-  FirstError error(file);
+  FirstError error;
   parser.RecordErrorsTo(&error);
   parser.WriteLocationsTo(&tree);
   if (!parser.ParseFromString(text, &message))
-    throw OptionError(error.text.empty() ? file + ": can't be used" : error.text);
+    throw OptionError(file + ":" + (error.text.empty() ? " can't be used" : error.text));
   Options out;
   out.file = file;
   if (message.has_two_phase()) {
--- a/src/options/options.h
+++ b/src/options/options.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "phases/plan.h"
@@ -41,12 +42,38 @@
   std::string folder, ground_file;
 };
 
+struct Zone {
+  std::string name, region;
+  double host_parts_a_second = 0;
+};
+
+struct Zones {
+  std::string home;
+  std::vector<Zone> zones;
+  int ground_share = 30, near_step = 8;
+  double headroom = 0.1, look_around = 0.01;
+  Time confirm = kSecond, dwell = 10 * kSecond, step = 2 * kSecond, region_round_trip = 0;
+  Time region_confirm = kSecond, region_dwell = 20 * kSecond, crossing_saved = 2 * kSecond;
+  std::vector<std::string> stay_in_region;
+  std::vector<std::pair<std::string, std::int64_t>> crossing;  // by op type, bytes a second
+  int line = 0;
+};
+
+struct Upkeep {
+  int holders_least = 1, at_once = 1, a_rack = 1, a_zone = 1, a_region = 1;
+  double zone_keep = 0.5, headroom = 0.1;
+  Time lost_after = 3600 * kSecond, around = 60 * kSecond, notice = kSecond, look = kSecond / 10;
+  bool stop_on_loss = true;
+};
+
 struct Fleet {
   std::string name, listen, advertise, key_file, operators, records;
   std::vector<Peer> peers;
   Time probe = kSecond / 2, answer_within = kSecond / 5;
   bool share_lists = true;
   std::optional<Accord> accord;
+  std::optional<Zones> zones;
+  std::optional<Upkeep> upkeep;
   int line = 0;
 };
 
@@ -81,7 +108,8 @@
 };
 std::vector<ResolvedIndex> resolve_indices(const Options& options, const settings::Settings& settings);
 
-// Refuses a fleet where the settings forbid brokers to talk to each other. Throws OptionError.
+// Refuses a fleet where the settings forbid brokers to talk to each other, and zones that name op types the
+// settings don't have. Throws OptionError.
 void check_fleet(const Options& options, const settings::Settings& settings);
 
 }  // namespace cairnhub::options
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -70,7 +70,8 @@
 Time Peers::wake() const {
   if (!started_ || gone_) return kNever;
   Time at = std::min({next_probe_, next_dead_, next_forget_});
-  if (!probe_.answered && !probe_.helped) at = std::min(at, probe_.began + scaled(terms_.answer_within));
+  if (!probe_.answered)
+    at = std::min(at, probe_.helped ? probe_.again : probe_.began + scaled(terms_.answer_within));
   for (const Errand& e : errands_) at = std::min(at, e.nack_at);
   for (const auto& name : suspects_) at = std::min(at, suspicion_ends(members_.at(name)));
   return at;
@@ -86,6 +87,14 @@
       send_to(m->rumour.name, std::move(ask));
       ++probe_.asked;
     }
+    probe_.again = now;
+  }
+  // Danger: on a line that loses, to wait longer helps nothing; where each fifth probe of a large fleet
+  // fails, refutations are lost among suspicions and sound members are held for dead. Harm: some small
+  // datagrams to one that is dead.
+  if (!probe_.answered && probe_.helped && now >= probe_.again) {
+    probe_.again = now + terms_.say_again;
+    ping(probe_.name, probe_.sequence);
   }
   std::erase_if(errands_, [&](const Errand& e) {
     if (now < e.nack_at) return false;
@@ -147,11 +156,15 @@
   next_probe_ = now + scaled(terms_.interval);
   Member* m = next_in_turn();
   if (!m) return;
-  probe_ = {m->rumour.name, ++sequence_, now, false, false, 0, 0};
+  probe_ = {m->rumour.name, ++sequence_, now, false, false, 0, 0, kNever};
   ++counts_.pings;
-  Message ping;
-  ping.sequence = probe_.sequence;
-  send_to(probe_.name, std::move(ping));
+  ping(probe_.name, probe_.sequence);
+}
+
+void Peers::ping(const std::string& name, std::uint32_t sequence) {
+  Message m;
+  m.sequence = sequence;
+  send_to(name, std::move(m));
 }
 
 void Peers::received(Time now, const std::string& from, const Message& message) {
@@ -168,11 +181,9 @@
     }
     case Message::Kind::ping_for: {
       if (members_.count(message.about) == 0) break;
-      Message ping;
-      ping.sequence = ++sequence_;
       if (errands_.size() >= 256) break;  // Danger: asked without end by one that is ill
-      errands_.push_back({from, message.sequence, ping.sequence, now + terms_.answer_within * 4 / 5});
-      send_to(message.about, std::move(ping));
+      errands_.push_back({from, message.sequence, ++sequence_, now + terms_.answer_within * 4 / 5});
+      ping(message.about, sequence_);
       break;
     }
     case Message::Kind::ack:
@@ -370,6 +381,7 @@
     const Member& m = it->second;
     if (!m.stated && !up(m.rumour.health) && now - m.since >= terms_.forget_dead) {
       hot_.erase({m.told, it->first});
+      forgotten_.push_back(it->first);
       it = members_.erase(it);
     } else {
       ++it;
@@ -403,4 +415,11 @@
   return c;
 }
 
+std::optional<std::string> Peers::forgotten() {
+  if (forgotten_.empty()) return std::nullopt;
+  auto name = std::move(forgotten_.front());
+  forgotten_.pop_front();
+  return name;
+}
+
 }  // namespace cairnhub::peers
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -46,6 +46,7 @@
 struct Terms {
   Time interval = kSecond / 2;       // between two pings
   Time answer_within = kSecond / 5;  // of a direct ping
+  Time say_again = kSecond / 20;     // from then on, each of these, until the probe is over
   int helpers = 3;                   // asked to ping in one's stead
   // Suspicion lasts from suspicion_least x log10(members) x interval, once so many others confirm it, up to
   // suspicion_most times that.
@@ -90,8 +91,9 @@
   Time wake() const;     // when to call woken next; kNever before start
   void leave(Time now);  // in good order: told to some at once; nothing is sent after
 
-  std::optional<Outgoing> send();   // the next that is to go out
-  std::optional<Change> changed();  // the next change of a member's health
+  std::optional<Outgoing> send();          // the next that is to go out
+  std::optional<Change> changed();         // the next change of a member's health
+  std::optional<std::string> forgotten();  // the next whose record is gone
 
   // Sends cargo to `n` members at random, alive by all that is known.
   void push(int n, const std::string& cargo);
@@ -121,6 +123,7 @@
     Time began = 0;
     bool helped = false, answered = true;
     int asked = 0, nacks = 0;
+    Time again = kNever;
   };
   struct Errand {  // a ping in another's stead
     std::string asker;
@@ -137,6 +140,7 @@
   void accuse(Time now, Member& m);
   void next_probe(Time now);
   Member* next_in_turn();
+  void ping(const std::string& name, std::uint32_t sequence);
   void end_probe(Time now);
   void send_to(const std::string& name, Message m, bool with_rumours = true);
   void add_rumours(Message& m, const std::string& to);
@@ -165,6 +169,7 @@
   int local_health_ = 0;
   std::deque<Outgoing> out_;
   std::deque<Change> changes_;
+  std::deque<std::string> forgotten_;
   Counts counts_;
 };
 
--- a/src/phases/plan.h
+++ b/src/phases/plan.h
@@ -10,6 +10,7 @@
 //
 // Times are nanoseconds on one clock. docs/two-phase.md tells what was weighed.
 #pragma once
+#include <algorithm>
 #include <optional>
 #include <set>
 #include <string>
@@ -43,16 +44,24 @@
 // What all plans of one op type share: what the phases took, and the credit for matching anew.
 class Planner {
  public:
-  explicit Planner(const Terms& t) : terms(t), split(t.match_share, t.shortest_fetch, t.learns) {}
-  const Terms terms;
+  explicit Planner(const Terms& t) : terms(t), split(t.match_share, t.shortest_fetch, t.learns), stated_(t) {}
+  Terms terms;
   Split split;
 
+  // Holds the plans to less than stated. A plan in hand keeps to the time it was taken with, and to the share
+  // that counts when it answers; from the needed share on an answer is whole.
+  void limit(Time budget_most, double least) {
+    terms.latency_budget = std::min(stated_.latency_budget, budget_most);
+    terms.least = std::min(stated_.need, std::max(stated_.least, least));
+  }
+
   // Danger: blocks whose replicas never agree would be matched without end by every multiget.
   bool may_rematch() const { return saved_ >= 1; }
   void rematched() { saved_ -= 1; }
   void matched_first(std::size_t blocks);
 
  private:
+  Terms stated_;
   double saved_ = 16;
 };
 
--- a/src/server/broker.cpp
+++ b/src/server/broker.cpp
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 
 #include <algorithm>
+#include <unordered_map>
 
 #include "base/clock.h"
 #include "broker/phased.h"
@@ -44,6 +45,7 @@
 }  // namespace
 
 struct Broker::Stages {
+  const int op_types;  // of the settings
   Decider decider;
   Book book;
   Sender sender;
@@ -59,15 +61,18 @@
   std::function<void()> done;
   Timer closing;
   bool door_closed = false;
+  Common* common = nullptr;
+  std::unordered_map<NodeId, int> out;  // sends, where something is in common; looked up, never walked
 
   Stages(event_base* base, const Config& c, const Extras& extras)
-      : decider(c.seed),
+      : op_types(static_cast<int>(settings::op_types(c.settings).size())),
+        decider(c.seed),
         book(decider, c.memory),
         sender(
-            base, send_limits(c), [this](Errand& e, const Result& r) { book.ended(e, r); },
+            base, send_limits(c), [this](Errand& e, const Result& r) { ended(e, r); },
             [this] { route.turn(); }),
         searcher(
-            base, search_limits(c, extras), [this](Errand& e, const Result& r) { book.ended(e, r); },
+            base, search_limits(c, extras), [this](Errand& e, const Result& r) { ended(e, r); },
             [this] { route.turn(); }),
         hosts(sender, searcher),
         route(
@@ -77,7 +82,7 @@
               hosts.forget(id);
             },
             [this] { return phased.follow_up(); }, [this](NodeId id) { return members.name_of(id); }),
-        phased(base, decider, book, route, static_cast<int>(settings::op_types(c.settings).size())),
+        phased(base, decider, book, route, op_types),
         members(decider,
                 [this](NodeId id, const Members::Entry& e) {
                   hosts.flavored(id, e.flavor);
@@ -94,22 +99,39 @@
         closing(base, [this] { close(); }) {
     settings::apply(c.settings, decider);
     if (extras.common) {
+      common = extras.common;
       members.hold(*extras.common);
       const Time come_back =
           c.settings.flag("ceilings.retry-after", false) ? c.settings.span("ceilings.max-retry-after", 0) : 0;
-      route.hold(
-          *extras.common,
-          [this, common = extras.common] {
-            const auto& s = in_force.settings;
-            decider.set_sends(std::min(s.whole("ceilings.try-limit", 1), common->sends_most()),
-                              s.flag("ceilings.second-copies", false) && common->second_copies(),
-                              s.flag("ceilings.cancel", false));
-            members.reconsider();
-          },
-          come_back);
+      hosts.look([this] { route.look(); });
+      hosts.count([this](const Carried& c) { carried(c); });
+      route.hold(*extras.common,
+                 {[this] {
+                    const auto& s = in_force.settings;
+                    decider.set_sends(std::min(s.whole("ceilings.try-limit", 1), common->sends_most()),
+                                      s.flag("ceilings.second-copies", false) && common->second_copies(),
+                                      s.flag("ceilings.cancel", false));
+                    for (int i = 0; i < op_types; ++i) {
+                      const OpLimits& l = common->limits(i);
+                      decider.limit_op_type(i, l.budget_most, l.least);
+                      phased.limit(i, l);
+                    }
+                    keep_in_regions();
+                    decider.limit_zones(common->zones(), common->zone_step(), common->look_around());
+                    members.reconsider();
+                  },
+                  [this] { keep_near(); },
+                  [this](Errand& e) {
+                    e.account = {route.counted_as(e.part->query->op_type), members.zone_of(e.node), false};
+                    ++out[e.node];
+                    e.account.over_budget = common->sent(e.account.zone, e.account.op_type);
+                    keep_near();
+                  },
+                  come_back});
     }
     hosts.set_flavor(extras.search_flavor);
     for (const auto& t : extras.two_phase) phased.allow(t.op_type, t.op, t.terms);
+    if (common) keep_in_regions();
     decider.start();
     if (!c.known.empty())
       if (const char* wrong = members.take(c.known))
@@ -118,6 +140,32 @@
     watch.call();
   }
 
+  void ended(Errand& e, const Result& r) {
+    // Danger: the book forgets a multiget with its last send, and the errand with it.
+    const NodeId node = e.node;
+    const Time latency = now() - e.sent_at;
+    const Account whose = e.account;
+    const Outcome how = book.ended(e, r);
+    if (!common) return;
+    if (const auto it = out.find(node); it != out.end() && --it->second == 0) out.erase(it);
+    common->ended(whose, node, how, latency);
+  }
+  void carried(Carried c) {
+    if (c.whose.zone < 0) c.whose.zone = members.zone_of(c.node);
+    common->carried(c);
+  }
+  // Rounds of plans too, each with the op type it comes from.
+  void each_op_type(const std::function<void(int, int)>& what) {
+    for (int i = 0; i < phased.op_types(); ++i) what(i, route.counted_as(i));
+  }
+  void keep_in_regions() {
+    each_op_type([this](int i, int from) { decider.keep_in_region(i, common->stays_in_region(from)); });
+  }
+  void keep_near() {
+    if (!common->budgets()) return;
+    each_op_type([this](int i, int from) { decider.keep_near(i, common->stays_near(from)); });
+  }
+
   void close() {
     if (!std::exchange(door_closed, true)) take_in.close_door();
     if (book.held() > 0 || !take_in.quiet()) return closing.start(kLookAgain);
@@ -135,6 +183,15 @@
 Route& Broker::route() { return stages_->route; }
 const Members& Broker::members() const { return stages_->members; }
 void Broker::ask_agent() { stages_->watch.ask_anew(); }
+int Broker::clear(const std::string& node) {
+  const NodeId id = stages_->members.id_of(node);
+  if (id == 0) return 0;
+  const auto it = stages_->out.find(id);
+  if (it != stages_->out.end()) return it->second;
+  stages_->hosts.let_go(id);
+  return 0;
+}
+void Broker::not_ready() { stages_->take_in.not_ready(); }
 void Broker::add(Front& front) { stages_->take_in.add(front); }
 
 void Broker::change(const Config& c) {
--- a/src/server/broker.h
+++ b/src/server/broker.h
@@ -48,6 +48,10 @@
   const Members& members() const;
   void add(Front& front);
   void ask_agent();  // for the whole list, at once
+  // How many sends are out at a node that takes nothing new; where there are none, its connections are
+  // closed.
+  int clear(const std::string& node);
+  void not_ready();  // whoever asks for its health is told to go elsewhere
   // Takes over what may change under way; logs what takes a restart.
   void change(const Config& config);
   // Goes on for as long as clients may still come, finishes what it has taken, then calls `done`. Once.
--- a/src/talk/talk.cpp
+++ b/src/talk/talk.cpp
@@ -238,6 +238,12 @@
   out.flush();
 }
 
+void Talk::forget(const std::string& name) {
+  sealer_.forget(name);
+  at_.erase(name);
+  outs_.erase(name);
+}
+
 void Talk::close_out(const std::string& to) { outs_.erase(to); }
 
 void Talk::accepted(evutil_socket_t fd) {
--- a/src/talk/talk.h
+++ b/src/talk/talk.h
@@ -46,6 +46,7 @@
   Talk& operator=(const Talk&) = delete;
 
   void send(const std::string& to, const std::string& address, const std::string& body);
+  void forget(const std::string& name);  // all that is kept of it; should it speak again, it is new
   void change(std::vector<Key> keys) { sealer_.change(std::move(keys)); }
   const Sealer& sealer() const { return sealer_; }
   const TalkCounts& counts() const { return counts_; }
--- a/tests/accord.cpp
+++ b/tests/accord.cpp
@@ -257,6 +257,84 @@
 }
 
 // The test of the test: a clock twice as fast as the bound allows, and the auditor must see the breach.
+// A voter whose log is longer than the new leader's, by what an earlier one never got committed: it answers
+// for what it was shown to share, and no further.
+void longer_log(Story&) {
+  KeptStore store(accord::first_voter_id("b0"));
+  std::vector<accord::Voter> three;
+  for (int i = 0; i < 3; ++i) three.push_back({accord::first_voter_id(broker(i)), broker(i), true});
+  accord::Engine::bootstrap(store, three);
+  accord::Entry e;
+  e.id = "never", e.text = limit(5);
+  store.set_term(2);
+  store.append(2, std::vector<accord::LogEntry>(20, {2, 1, accord::encode(e)}));
+  accord::Engine engine({}, "b0", store, 1, {});
+  engine.start(kSecond);
+  const auto answer = [&](std::uint64_t after, std::uint64_t term_there, int entries) {
+    accord::wire::Raft m;
+    m.set_type(1), m.set_from(accord::first_voter_id("b1")), m.set_to(accord::first_voter_id("b0"));
+    m.set_term(3), m.set_a(after), m.set_b(term_there), m.set_c(1);
+    for (int k = 0; k < entries; ++k) {
+      auto* one = m.add_entry();
+      one->set_term(3), one->set_type(1), one->set_data(accord::encode(e));
+    }
+    engine.received(kSecond, "b1", m);
+    std::string said = "nothing";
+    while (auto out = engine.send()) {
+      accord::wire::Packet p;
+      if (!p.ParseFromString(out->bytes) || p.raft().type() != 2) continue;
+      said = (p.raft().a() ? "no, it ends at " : "up to ") + std::to_string(p.raft().b());
+    }
+    return said;
+  };
+  std::printf("its log ends at 21; the leader's, of a later term, shares the first entry\n");
+  std::printf("told of nothing after 1: %s\n", answer(1, 1, 0).c_str());
+  std::printf("told of two after 1: %s\n", answer(1, 1, 2).c_str());
+  std::printf("told of nothing after 3: %s\n", answer(3, 3, 0).c_str());
+  std::printf("told of nothing after 9: %s\n", answer(9, 3, 0).c_str());
+}
+
+// A broker starts anew while what its earlier life asked is still on its way, and while it was granted.
+void two_lives(Story&) {
+  accord::LeaseTerms terms;
+  accord::Leases leader(terms);
+  accord::Versions book;
+  for (auto kind : {accord::Entry::Kind::enlist, accord::Entry::Kind::propose_ground}) {
+    accord::Entry e;
+    e.kind = kind, e.name = "x", e.id = "g", e.base = 1, e.text = limit(5);
+    book.apply(e);
+  }
+  const std::set<std::string> voters{"v"};
+  leader.leads(kSecond, 1, voters, "v");
+  const auto grants = [&](Time now, const accord::Ask& ask) {
+    leader.asked(now, "x", ask);
+    if (const auto r = leader.round(now)) leader.confirmed(now, "v", 1, *r, book);
+    return leader.granted();
+  };
+  accord::Holder first(terms, {}, 7);
+  const accord::Ask asked = first.ask(kSecond);
+  accord::Ask keeps = first.ask(kSecond);
+  const auto early = grants(kSecond, asked);
+  keeps.ground = book.ground_next()->number;  // the first life has come to keep to it
+  accord::Holder second(terms, {}, 9);
+  const accord::Ask anew = second.ask(2 * kSecond);
+  std::printf("what its earlier life was granted is an answer to it: %s\n",
+              second.answered(2 * kSecond, early.front().grant) ? "YES" : "no");
+  grants(2 * kSecond, keeps);
+  std::printf("its earlier life kept to the ground: forced %s\n",
+              leader.may_force_ground(book) ? "yes" : "no");
+  grants(2 * kSecond, anew);
+  std::printf("it has asked, and keeps to none: forced %s\n", leader.may_force_ground(book) ? "YES" : "no");
+  grants(2 * kSecond, keeps);
+  std::printf("what its earlier life said comes once more: forced %s\n",
+              leader.may_force_ground(book) ? "YES" : "no");
+  std::printf("what it asked itself is answered: %s\n", [&] {
+    for (const auto& g : grants(2 * kSecond, second.ask(2 * kSecond)))
+      if (second.answered(2 * kSecond, g.grant)) return "yes";
+    return "NO";
+  }());
+}
+
 void drift_breach(Story& s) {
   s.begin();
   for (int round = 0; round < 20; ++round) {
@@ -346,8 +424,10 @@
     if (!s.settles(1, 60 * kSecond + 10 * stated)) return complain("not all settle once all is well");
     if (f.longest > 0) return complain("two brokers act on contradicting versions");
     if (f.unequal) return complain("one number, two contents");
+    // Leases outlive a leader that has just stepped down.
+    if (!s.world.play(s.world.now() + 10 * stated, [&] { return f.leader() >= 0; }))
+      return complain("nobody leads once all is well");
     const int l = f.leader();
-    if (l < 0) return complain("nobody leads once all is well");
     const auto& book = f.all[static_cast<std::size_t>(l)].accord->engine()->versions();
     for (const auto& [number, id] : f.told) {
       const auto* v = book.at(number);
@@ -373,10 +453,10 @@
   if (story == "random")
     return random_runs(argc > 2 ? std::atoi(argv[2]) : 300, argc > 3 ? std::atoi(argv[3]) : 1);
   const std::map<std::string, void (*)(Story&)> stories{
-      {"versions", versions},        {"third_away", third_away},       {"leader_one_way", leader_one_way},
-      {"no_majority", no_majority},  {"proposer_dies", proposer_dies}, {"hundred", hundred},
-      {"voter_lost", voter_lost},    {"folder_lost", folder_lost},     {"all_voters_down", all_voters_down},
-      {"drift_breach", drift_breach}};
+      {"versions", versions},         {"third_away", third_away},       {"leader_one_way", leader_one_way},
+      {"no_majority", no_majority},   {"proposer_dies", proposer_dies}, {"hundred", hundred},
+      {"voter_lost", voter_lost},     {"folder_lost", folder_lost},     {"all_voters_down", all_voters_down},
+      {"drift_breach", drift_breach}, {"longer_log", longer_log},       {"two_lives", two_lives}};
   const auto it = stories.find(story);
   if (it == stories.end()) return std::printf("no such story\n"), 1;
   if (story == "drift_breach") {
--- a/tests/audits.cpp
+++ b/tests/audits.cpp
@@ -28,10 +28,10 @@
   const Audit a = audit(records, known);
   std::printf(
       "%s: contradiction %lld ms, out of order %d, unequal %d, lost %d, lists back %d, past grace %d "
-      "(latest %lld ms), slowest news %lld ms\n",
+      "(latest %lld ms), slowest news %lld ms, at work %d of %d, too few %d\n",
       what, static_cast<long long>(a.longest_contradiction / kMs), a.out_of_order, a.unequal, a.lost,
       a.lists_back, a.past_grace, static_cast<long long>(a.latest / kMs),
-      static_cast<long long>(a.slowest_news / kMs));
+      static_cast<long long>(a.slowest_news / kMs), a.at_work, a.works_done, a.below_least);
 }
 
 }  // namespace
@@ -79,4 +79,37 @@
   Record torn;
   std::printf("a torn line is read: %s\n",
               read_record("{\"t\":12,\"who\":\"a\",\"what\":\"lea", torn) ? "yes" : "no");
+  // A machine handed over at 100 ms and back at 300, as three voters recorded it.
+  const auto work = [](int ms, const char* who, const char* step) {
+    return said(ms, who, "work",
+                "\"work\":1,\"machine\":\"m\",\"nodes\":\"s-1 s-10\",\"step\":\"" + std::string(step) + "\"");
+  };
+  const std::vector<Record> course{work(50, "a", "draining"),   work(100, "a", "at work"),
+                                   work(120, "b", "at work"),   work(300, "b", "returning"),
+                                   work(310, "a", "returning"), work(900, "a", "in service")};
+  const auto arrives = [](std::initializer_list<std::pair<int, const char*>> all) {
+    Known k;
+    for (const auto& [ms, node] : all) k.arrivals.push_back({ms * kMs, "a", node});
+    return k;
+  };
+  show("a machine at work", course, arrives({{90, "s-1"}, {150, "s-2"}, {305, "s-10"}}));
+  show("a part came to it", course, arrives({{110, "s-10"}}));
+  // Three holders a shard, two to be kept: neighbours out together leave one.
+  const auto out = [](int ms, int index, int number, const char* node, const char* step,
+                      const char* why = "its turn") {
+    return said(ms, "a", "work",
+                "\"work\":" + std::to_string(number) + ",\"index\":" + std::to_string(index) +
+                    ",\"nodes\":\"" + node + "\",\"step\":\"" + step + "\",\"why\":\"" + why + "\"");
+  };
+  Known layout;
+  layout.cells = 9, layout.width = 3, layout.holders_least = 2;
+  show("works far apart", {out(0, 1, 1, "s-1", "draining"), out(5, 2, 2, "s-5", "draining")}, layout);
+  show("works that share a shard", {out(0, 1, 1, "s-8", "draining"), out(5, 2, 2, "s-0", "draining")},
+       layout);
+  show("one after the other",
+       {out(0, 1, 1, "s-1", "draining"), out(5, 2, 1, "s-1", "in service"), out(6, 3, 2, "s-2", "draining")},
+       layout);
+  show("an emergency", {out(0, 1, 1, "s-1", "draining"), out(5, 2, 2, "s-2", "draining", "emergency")},
+       layout);
+  show("one that never came back", {work(100, "a", "at work")}, arrives({{5000, "s-1"}, {5000, "s-11"}}));
 }
--- a/tests/fleet/accords.h
+++ b/tests/fleet/accords.h
@@ -109,6 +109,7 @@
   }
   void start(int i) {
     One& o = all[static_cast<std::size_t>(i)];
+    terms.life = static_cast<std::uint32_t>(o.life + 1);
     o.accord = std::make_unique<accord::Accord>(terms, broker(i), o.store.get(), accord::Rules{},
                                                 world.chance.below(1u << 30));
     o.accord->applied = [this, i](const accord::Entry&, const accord::Verdict&) { applied(i); };
--- a/tests/fleet/auditor.cpp
+++ b/tests/fleet/auditor.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <sstream>
 
 namespace cairnhub::fleet {
 
@@ -132,6 +133,63 @@
       out.latest = std::max(out.latest, a.t - k.from);
     }
   }
+  // Each step of a work counts from the first broker that recorded it: the leader commits it, and others
+  // learn.
+  struct Handed {
+    std::int64_t from = INT64_MAX, until = INT64_MAX;
+    std::string nodes;
+  };
+  std::map<std::uint64_t, Handed> handed;
+  std::set<std::uint64_t> done;
+  for (const Record& r : records) {
+    if (r.what != "work") continue;
+    Handed& h = handed[r.get("work")];
+    if (r.say("step") == "at work") h.from = std::min(h.from, r.t), h.nodes = r.say("nodes");
+    if (r.say("step") == "returning") h.until = std::min(h.until, r.t);
+    if (r.say("step") == "in service") done.insert(r.get("work"));
+  }
+  out.works_done = static_cast<int>(done.size());
+  // Nodes that works have out, from the first broker that recorded a step on.
+  if (known.holders_least > 0) {
+    std::map<int, int> out_of_cell;
+    const auto cells_of = [](const Record& r) {
+      std::vector<int> cells;
+      std::istringstream words(r.say("nodes"));
+      for (std::string word; words >> word;)
+        if (word.rfind("s-", 0) == 0) cells.push_back(std::stoi(word.substr(2)));
+      return cells;
+    };
+    std::map<std::uint64_t, std::uint64_t> index_of;
+    std::set<std::uint64_t> out_now;
+    for (const Record& r : records) {
+      if (r.what != "work") continue;
+      const std::uint64_t n = r.get("work");
+      // Each voter tells the same steps in the same order; a later one's telling of an earlier step is no
+      // news.
+      if (r.get("index") <= index_of[n]) continue;
+      index_of[n] = r.get("index");
+      const std::string step = r.say("step");
+      const bool takes_out = step != "queued" && step != "in service" && step != "cancelled";
+      if (takes_out && out_now.insert(n).second) {
+        for (const int c : cells_of(r)) ++out_of_cell[c];
+        if (r.say("why") == "emergency") continue;
+        for (const int c : cells_of(r))
+          for (int s = c - known.width + 1; s <= c; ++s) {
+            int left = 0;
+            for (int k = 0; k < known.width; ++k)
+              left += out_of_cell[((s + k) % known.cells + known.cells) % known.cells] == 0;
+            out.below_least += left < known.holders_least;
+          }
+      } else if (!takes_out && out_now.erase(n)) {
+        for (const int c : cells_of(r)) --out_of_cell[c];
+      }
+    }
+  }
+  for (const auto& [work, h] : handed)
+    for (const Arrival& a : known.arrivals)
+      if (a.t > h.from && a.t < h.until &&
+          (" " + h.nodes + " ").find(" " + a.node + " ") != std::string::npos)
+        ++out.at_work;
   for (const auto& [number, id] : known.accepted) {
     const auto it = made.find(number);
     if (it == made.end() || it->second != id) ++out.lost;
