--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -145,6 +145,35 @@
   s.back(10, Outcome::error, kMs);
 }
 
+void zones_shut() {  // the near holder is dead, the one elsewhere shut for now: neither part goes out for
+                     // nothing
+  Story s(Story::op(), 2, 2);
+  s.d.limit_zones({{1.0}, {0.03}}, 2, 0);
+  s.d.start();
+  s.d.list_begins(s.now, true);
+  for (NodeId id : {1, 2}) s.d.list_node(id, NodeState::ready, 0, static_cast<int>(id) - 1, id == 1 ? 0 : 1);
+  s.d.list_ends();
+  for (RequestId id = 1; id <= 3; ++id) {
+    s.ask(id, {0, 1});
+    for (RequestId part : {id * 10, id * 10 + 1})
+      if (s.sends[part]) s.back(part, Outcome::connect_failed, 0);
+    s.now += kMs;
+  }
+  // What all that is asked for gathers in time lets one cross whole.
+  for (RequestId id = 4; id <= 100; ++id) {
+    s.d.multiget_arrived(s.now, id, 0, static_cast<float>(id), false, kSecond);
+    for (int i = 0; i < 2; ++i) s.d.part_arrived(s.now, id * 10 + i, static_cast<float>(id), i, 0.5);
+    int sent = 0;
+    while (const auto x = s.d.next(s.now)) {
+      sent += x->kind == Decision::Kind::send;
+      if (x->kind != Decision::Kind::send) continue;
+      s.sends[x->request] = 1;
+      std::printf("       multiget %u sends part %u to node %u\n", id, x->request,
+                  static_cast<unsigned>(x->node));
+    }
+  }
+}
+
 void long_gone() {  // forgotten 13 s after it has gone, the warm-up and the route timeout, if nothing is out
   Story s(Story::op(), 2, 1);
   s.nodes(2);
@@ -374,6 +403,7 @@
                                                     {"in_part", in_part},
                                                     {"long_gone", long_gone},
                                                     {"erred", erred},
+                                                    {"zones_shut", zones_shut},
                                                     {"second_step", second_step},
                                                     {"send_budget", send_budget},
                                                     {"overdue_undrawn", overdue_undrawn},
