A near holder that returned lately is late, not dead, while others elsewhere are shut

One answer late by 10 ms makes the near holder a suspect; with its only copies elsewhere shut on the common ground, the second part of the same multiget at it was turned away as if it were dead (decide.cpp, pick). One that has returned within the longest wait between trials, in usual paces, now counts.

Nothing changes where zones are off.

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -483,8 +483,9 @@
       best_rank = rank;
     }
     // Danger: with live holders elsewhere shut to it for now a part goes to a dead one, and the rest of its
-    // multiget is work for nothing in the zones that live.
-    return shut && std::get<0>(best_rank) ? nullptr : best;
+    // multiget is work for nothing in the zones that live. One that has returned lately was late, not dead.
+    const double quiet = best ? seconds(now - best->last_return) / judge.usual_pace() : 0;
+    return shut && std::get<0>(best_rank) && quiet > kTrialLatencies * kTrialDoublings ? nullptr : best;
   }
 
   Decision send(Part& p, Node& n, Time now, bool spend) {
