--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -667,7 +667,7 @@
   // come. Nothing further is sent while what is in and on its way suffices: the margin covers a first
   // straggler. Also caught: resets, errors, full queues, nodes gone from the list. Harm: under overload
   // copies add load, so they come out of a small saved-up share, and a merely slow node's parts are copied to
-  // an idle node only.
+  // an idle node of the own zone only.
   std::optional<Decision> send_next(Multiget& mg, Time now) {
     double coming = mg.weight_in();
     std::vector<Part*> open;
@@ -692,7 +692,7 @@
         const bool merely_slow = std::any_of(p->sends.begin(), p->sends.end(), [&](const auto& s) {
           return !s->ended && !s->astray && !s->node->suspect;
         });
-        if (!n || (merely_slow && (n->calls_out > 0 || judge.shunned(*n, now)))) continue;
+        if (!n || (merely_slow && (n->calls_out > 0 || n->zone != 0 || judge.shunned(*n, now)))) continue;
         p->drawn = true;
         return send(*p, *n, now, true);
       }
