Watch: an answer without end is given up, a failed call asks for the whole list at once

Seen, with discovery spoken for over loopback: an answer of 100,000 announced bytes that comes a byte every 50 ms was waited for without bound ("GAVE UP: an answer without end is waited for", cross_watch_endless on the program before). The one bound was evhttp_connection_set_timeout_tv in Watch::call, which begins anew with each byte. A silent call took 6 s to be noticed and the next one waited 5 s again (kWaitMs, kAnswerWithinMs), so that a second silent or refused call put a change past the 6 s in which it counts as told. After a failure the next call asked for changes `since` the list in hand on the connection that had failed. Ruled out: a body cut off by a reset is not taken for a whole one (cross_watch_cut_off passes on both).

Now each call has a timer of its own: 1.4 s of waiting and 0.7 s for the answer. The stand-in's `tells` follows the program where a call has ended meanwhile.

--- a/src/broker/watch.cpp
+++ b/src/broker/watch.cpp
@@ -12,20 +12,30 @@
 
 namespace {
 
-// Discovery lets a call wait so long at most; short ones notice a dead agent sooner and cost nothing.
-constexpr int kWaitMs = 5000, kAnswerWithinMs = 1000;
-// A watch goes on where the next call comes within 200 ms: the first new try keeps to that.
-constexpr Time kFirstRetry = 50 * kSecond / 1000, kLongestRetry = kSecond;
+// A change has to be acted on within 6 s of discovery having it, whatever becomes of calls in between. One
+// silent call takes 2.1 s to be noticed and each further one, which asks for the whole list and so is
+// answered at once, 0.7 s: four calls in a row may fail before that time is up.
+constexpr int kChangeWaitMs = 1400;
+constexpr Time kAnswerWithin = 700 * kSecond / 1000;
+// A watch goes on where the next call comes within 200 ms: the first retry keeps to that.
+constexpr Time kFirstRetry = 50 * kSecond / 1000, kLongestRetry = 400 * kSecond / 1000;
 constexpr std::size_t kLargestList = 4 << 20;
 
 }  // namespace
 
-Watch::Watch(event_base* base, const std::string& discovery, Members& members, std::function<void(bool)> news)
-    : base_(base), members_(members), news_(std::move(news)), again_(base, [this] { call(); }) {
-  at(discovery);
+Watch::Watch(event_base* base, const std::string& discovery, Members& members,
+             std::function<void(bool)> on_update)
+    : base_(base),
+      members_(members),
+      on_update_(std::move(on_update)),
+      next_call_(base, [this] { call(); }),
+      deadline_(base, [this] { on_deadline(); }) {
+  set_address(discovery);
 }
 
-void Watch::at(const std::string& discovery) {
+Watch::~Watch() { stop(); }
+
+void Watch::set_address(const std::string& discovery) {
   Address checked;
   if (!parse_address(discovery, checked))
     throw std::runtime_error("configuration: discovery is not an address");
@@ -34,76 +44,97 @@
   port_ = static_cast<std::uint16_t>(std::stoi(discovery.substr(colon + 1)));
 }
 
-Watch::~Watch() { stop(); }
-
 // Danger: another address may stand for another list, whose revisions aren't those of the one in hand.
 void Watch::move(const std::string& discovery) {
-  at(discovery);
-  stop();
-  whole_ = true, wait_ = 0;
+  set_address(discovery);
   members_.anew();
-  call();
+  refresh();
 }
 
 // Danger: an agent that fell silent with a call open would be waited for as long as that may last.
-void Watch::ask_anew() {
+void Watch::refresh() {
   stop();
-  whole_ = true, wait_ = 0;
+  whole_list_ = true;
+  retry_wait_ = 0;
   call();
 }
 
+// Danger: the answer to a call from before a move would overwrite a newer list. With its connection it is
+// gone.
 void Watch::stop() {
-  again_.stop();
+  next_call_.stop();
+  deadline_.stop();
   if (connection_) evhttp_connection_free(std::exchange(connection_, nullptr));
 }
 
+bool Watch::waits_for_changes() const { return members_.held() && !whole_list_; }
+
 void Watch::call() {
+  // Danger: after a failed call its connection may still bring an answer, which would be taken for the next
+  // one's.
+  if (retry_wait_ > 0) stop();
   if (!connection_) {
     connection_ = evhttp_connection_base_bufferevent_new(base_, nullptr, nullptr, host_.c_str(), port_);
-    if (!connection_) return again_.start(kLongestRetry);
+    if (!connection_) return next_call_.start(kLongestRetry);
     evhttp_connection_set_max_body_size(connection_, kLargestList);
-    const timeval tv{(kWaitMs + kAnswerWithinMs) / 1000, (kWaitMs + kAnswerWithinMs) % 1000 * 1000};
-    evhttp_connection_set_timeout_tv(connection_, &tv);
   }
   called_at_ = now();
   evhttp_request* request = evhttp_request_new(
       [](evhttp_request* r, void* self) {
-        guarded("watch", [&] { static_cast<Watch*>(self)->answered(r); });
+        guarded("watch", [&] { static_cast<Watch*>(self)->on_answer(r); });
       },
       this);
   evhttp_add_header(evhttp_request_get_output_headers(request), "Host",
                     (host_ + ":" + std::to_string(port_)).c_str());
   std::string path = "/catalog/members";
-  if (members_.held() && !whole_)
-    path += "?since=" + std::to_string(members_.revision()) + "&timeout_ms=" + std::to_string(kWaitMs);
+  if (waits_for_changes())
+    path += "?since=" + std::to_string(members_.revision()) + "&timeout_ms=" + std::to_string(kChangeWaitMs);
+  // Danger: the library's own time-outs begin anew with each byte, so that an answer without end would never
+  // end.
+  deadline_.start((waits_for_changes() ? kChangeWaitMs * kSecond / 1000 : 0) + kAnswerWithin);
+  // A request that can't be made is gone with the failure.
   if (evhttp_make_request(connection_, request, EVHTTP_REQ_GET, path.c_str()) != 0)
-    again_.start(kLongestRetry);  // the request has gone with the failure
+    on_failure("can't be called");
 }
 
-void Watch::answered(evhttp_request* request) {
-  const char* trouble = "no answer";
-  bool at_once = false;
-  if (request && evhttp_request_get_response_code(request) == 200) {
-    evbuffer* body = evhttp_request_get_input_buffer(request);
-    const std::size_t n = evbuffer_get_length(body);
-    const char* bytes = n ? reinterpret_cast<const char*>(evbuffer_pullup(body, -1)) : "";
-    const auto before = members_.revision();
-    trouble = members_.take({bytes, n});
-    if (!trouble) whole_ = false;
-    // Danger: an agent that answers at once with nothing new would be asked without end.
-    at_once = members_.revision() == before && now() - called_at_ < kFirstRetry;
-  } else if (request && evhttp_request_get_response_code(request) != 0) {
-    trouble = "not a 200";
-  }
-  if (trouble) {
-    log("discovery", "%s; the list in hand stays, revision %llu", trouble,
-        static_cast<unsigned long long>(members_.revision()));
-    wait_ = wait_ == 0 ? kFirstRetry : std::min(2 * wait_, kLongestRetry);
-  } else {
-    wait_ = at_once ? kFirstRetry : 0;
-  }
-  again_.start(wait_);  // not from within the library's callback
-  news_(trouble == nullptr);
+const char* Watch::take_answer(evhttp_request* request) {
+  const int status = request ? evhttp_request_get_response_code(request) : 0;
+  if (status == 0) return "no answer";
+  if (status != 200) return "not a 200";
+  evbuffer* body = evhttp_request_get_input_buffer(request);
+  const std::size_t length = evbuffer_get_length(body);
+  const char* bytes = length ? reinterpret_cast<const char*>(evbuffer_pullup(body, -1)) : "";
+  return members_.take({bytes, length});
+}
+
+void Watch::on_answer(evhttp_request* request) {
+  deadline_.stop();
+  const auto revision = members_.revision();
+  if (const char* reason = take_answer(request)) return on_failure(reason);
+  whole_list_ = false;
+  // Danger: an agent that answers at once with nothing new would be asked without end.
+  const bool at_once = members_.revision() == revision && now() - called_at_ < kFirstRetry;
+  retry_wait_ = 0;
+  next_call_.start(at_once ? kFirstRetry : 0);  // not from within the library's callback
+  on_update_(true);
+}
+
+// The connection is closed, not used again: what it may still bring belongs to a call that was given up.
+void Watch::on_deadline() {
+  stop();
+  on_failure("silent for too long");
+}
+
+// Danger: what a failed call would have told. Only the whole list surely has it, and it is answered at once,
+// so that a further silence is noticed soon.
+void Watch::on_failure(const char* reason) {
+  deadline_.stop();
+  log("discovery", "%s; the list in hand stays, revision %llu", reason,
+      static_cast<unsigned long long>(members_.revision()));
+  whole_list_ = true;
+  retry_wait_ = retry_wait_ == 0 ? kFirstRetry : std::min(2 * retry_wait_, kLongestRetry);
+  next_call_.start(retry_wait_);
+  on_update_(false);
 }
 
 }  // namespace cairnhub::broker
--- a/src/server/broker.cpp
+++ b/src/server/broker.cpp
@@ -182,7 +182,7 @@
 Book& Broker::book() { return stages_->book; }
 Route& Broker::route() { return stages_->route; }
 const Members& Broker::members() const { return stages_->members; }
-void Broker::ask_agent() { stages_->watch.ask_anew(); }
+void Broker::ask_agent() { stages_->watch.refresh(); }
 int Broker::clear(const std::string& node) {
   const NodeId id = stages_->members.id_of(node);
   if (id == 0) return 0;
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -421,6 +421,7 @@
   Client c;
   w.asked();
   w.tells("{\"revision\":2,\"members\":[{\"id\":\"s-1\"}]}");
+  w.asked();  // ends with the connection: what may still come on it belongs to a call that has failed
   w.asked();
   w.watch->reset();
   w.watch.reset();
--- a/tests/stand_ins/world.h
+++ b/tests/stand_ins/world.h
@@ -23,15 +23,18 @@
   int parts_a_call = 1, sockets = 256, memory_mb = 192;
   const char *budget = "2", *connect_within = "0.25", *keepalive = "15", *deadline = "60", *cold = "10",
              *fall_span = "2";
-  std::string config = {};   // the whole of it, where stated
-  std::string options = {};  // the operators', where stated
-  std::string flavors = {};  // of nodes 1, 2, ..., a letter each; absent: all `m`
-  int log = -1;              // where its log goes; -1: nowhere
-  std::string run = {};      // a deploy file's `run`, where the program is to start as it says, confined
+  std::string config = {};     // the whole of it, where stated
+  std::string options = {};    // the operators', where stated
+  std::string flavors = {};    // of nodes 1, 2, ..., a letter each; absent: all `m`
+  int log = -1;                // where its log goes; -1: nowhere
+  std::string run = {};        // a deploy file's `run`, where the program is to start as it says, confined
+  bool known = true;           // the configuration names the nodes
+  const char* window = "0.5";  // in which repeats of `keyed` are dropped
 };
 
 // The program with its surroundings. Op types: `all` needs every part, `any` half of them, `once` every part
-// and may not be repeated; `part` every part, but half of them earn something.
+// and may not be repeated; `part` every part, but half of them earn something; `keyed` every part, and may be
+// repeated within a window.
 struct World {
   int cells;
   Listener discovery{kDiscovery};
@@ -48,25 +51,31 @@
     }
     const auto n = [](int number) { return std::to_string(number); };
     std::string classes;
-    for (const char* op : {"all", "any", "once", "part"})
+    for (const char* op : {"all", "any", "once", "part", "keyed"})
       classes += std::string(classes.empty() ? "" : ",") + R"({"name":")" + op + R"(","promise":)" +
                  s.budget + R"(,"deadline":)" + s.deadline + R"(,"late-share":0.5,"effect":")" +
-                 (std::strcmp(op, "once") == 0 ? "single_shot" : "free") + R"("})";
-    start(
-        R"({"listen":")" + text(kBroker) + R"(","discovery":")" + text(kDiscovery) +
-        R"(","seed":"00000000000000a7","limits":{"cores":1.0,"memory_mb":)" + n(s.memory_mb) +
-        R"(,"sockets":)" + n(s.sockets) + R"(},"known":)" + list(1, true, "in_service") +
-        R"(,"settings":{"balancers":2,"callers":{"marks-retry":true},"ceilings":{"cancel":true,)"
-        R"("connect-timeout":)" +
-        s.connect_within + R"(,"keepalive":)" + s.keepalive +
-        R"(,"max-retry-after":0.5,"multiplex":64,"retry-after":true,"second-copies":true,"try-limit":3},)"
-        R"("classes":[)" +
-        classes +
-        R"(],"family-info":{"min-share":[1,0.5,1,0.5],"need-by-class":[1,0.5,1,1],"class-partial":[0,0,0,0.5],)"
-        R"("parts-a-call":)" +
-        n(s.parts_a_call) + R"(,"positions":)" + n(s.cells) + R"(,"ranges":)" +
-        n(s.shards ? s.shards : s.cells) + R"(,"width":)" + n(s.replicas) + R"(},"rules":{"cold":)" + s.cold +
-        R"(,"cold-from":0.2,"fall-multiple":2,"overload-for":)" + s.fall_span + R"(},"tick":0.005}})");
+                 (std::strcmp(op, "once") == 0 ? "single_shot"
+                  : std::strcmp(op, "keyed") == 0
+                      ? std::string(R"(guarded","group":"all","memory-span":)") + s.window + R"(,"x":")"
+                      : "free") +
+                 R"("})";
+    start(R"({"listen":")" + text(kBroker) + R"(","discovery":")" + text(kDiscovery) +
+          R"(","seed":"00000000000000a7","limits":{"cores":1.0,"memory_mb":)" + n(s.memory_mb) +
+          R"(,"sockets":)" + n(s.sockets) + R"(},)" +
+          (s.known ? R"("known":)" + list(1, true, "in_service") + "," : std::string()) +
+          R"("settings":{"balancers":2,"callers":{"marks-retry":true},"ceilings":{"cancel":true,)"
+          R"("connect-timeout":)" +
+          s.connect_within + R"(,"keepalive":)" + s.keepalive +
+          R"(,"max-retry-after":0.5,"multiplex":64,"retry-after":true,"second-copies":true,"try-limit":3},)"
+          R"("classes":[)" +
+          classes +
+          R"(],"family-info":{"min-share":[1,0.5,1,0.5,1],"need-by-class":[1,0.5,1,1,1],)"
+          R"("class-partial":[0,0,0,0.5,0],)"
+          R"("parts-a-call":)" +
+          n(s.parts_a_call) + R"(,"positions":)" + n(s.cells) + R"(,"ranges":)" +
+          n(s.shards ? s.shards : s.cells) + R"(,"width":)" + n(s.replicas) + R"(},"rules":{"cold":)" +
+          s.cold + R"(,"cold-from":0.2,"fall-multiple":2,"overload-for":)" + s.fall_span +
+          R"(},"tick":0.005}})");
   }
   ~World() {
     if (pid > 0) kill(pid, SIGKILL), waitpid(pid, nullptr, 0);
@@ -154,7 +163,14 @@
     std::printf("discovery is asked: %s\n", watch->in.substr(0, watch->in.find(" HTTP")).c_str());
     watch->in.clear();
   }
+  // Where the program has given up the call meanwhile, its next one is answered.
   void tells(const std::string& body) {
+    while (!watch || (readable(watch->fd, 0) && !watch->more())) {
+      watch = std::make_unique<Peer>(discovery.accept());
+      while (watch->in.find("\r\n\r\n") == std::string::npos)
+        if (!watch->more()) break;
+      watch->in.clear();
+    }
     watch->write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
   }
   void ends() {
