Attempts: none on a connection that has ended, none begun after its window or its client's time

Seen over loopback, the program before against the scenarios kept here: - cross_idle_ended: a node ends its idle connection as a request comes, the request first in the loop's turn. The call was written to the ended connection ("GAVE UP: the program doesn't connect": the client of a single_shot class gets a 500). At fault: link_with_room took any connection that was up. It now looks at the socket (POLLRDHUP) before use. - cross_idle_half_line: bytes on an idle connection that answer nothing; the call written behind them ended as spoilt and may have run. Such a connection is left to be read first. Where something was given up on it bytes may be its late answer, and it stays in use (net_any_parts, which a first try broke by refusing every idle connection with bytes). - cross_window_over: a part of a guarded class was reset; its repeat, decided within the window of 0.5 s, waited for a connection that came up after 1 s and was then written ("node 1 reads: Am1.0"). Gate::may_send checks the window as it decides, Sender::write didn't. The decision now carries `begin_within`, and what waits past it, or past its time-out, is withdrawn before a frame is made. cross_window_open shows the repeat within the window. cross_late_connection_left passed before: what waits goes with its client.

--- a/src/broker/query.h
+++ b/src/broker/query.h
@@ -45,6 +45,7 @@
   NodeId node = 0;
   int index = 0;
   Time sent_at = 0, until = 0, ended_at = 0;
+  Time begin_by = kNever;  // not to be begun later
   bool ended = false;
   Account account;            // set where bytes are counted
   Outcome how = Outcome::ok;  // once ended
--- a/src/broker/route.cpp
+++ b/src/broker/route.cpp
@@ -167,6 +167,7 @@
   auto e = std::make_unique<Errand>();
   e->part = p, e->node = d.node, e->index = static_cast<int>(p->errands.size());
   e->sent_at = now(), e->until = e->sent_at + d.span;
+  if (d.begin_within != kNever) e->begin_by = e->sent_at + d.begin_within;
   p->errands.push_back(std::move(e));
   if (common_) with_.sent(*p->errands.back());
   hosts_.send(*p->errands.back(), d.node);
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -327,10 +327,17 @@
     if (mg.phase != Phase::collecting || p.over || p.returned || now >= mg.expires) return false;  // rule 1
     if (static_cast<int>(p.sends.size()) >= most_ || (p.out() && !second_copies_)) return false;
     if (mg.op->effect == Effect::non_retriable && !p.ran_never()) return false;  // rule 2
-    if (mg.op->effect == Effect::deduped)
-      for (const auto& s : p.sends)
-        if (!(s->ended && never_ran(s->outcome)) && now > s->at + mg.op->dedupe_window) return false;
-    return true;
+    return may_begin_within(p, now) >= 0;
+  }
+  // Rule 2: what is left of the time in which repeats are dropped, from the first attempt that may have run
+  // on.
+  Time may_begin_within(const Part& p, Time now) const {
+    Time left = kNever;
+    if (p.multiget->op->effect != Effect::deduped) return left;
+    for (const auto& s : p.sends)
+      if (!(s->ended && never_ran(s->outcome)))
+        left = std::min(left, s->at + p.multiget->op->dedupe_window - now);
+    return left;
   }
   bool may_send(const Part& p, Node& n, Time now) {
     return may_send(p, now) && n.listed_ready &&             // rule 3: at once, the grace isn't used
@@ -499,6 +506,7 @@
     else
       gate.further.further_send(now), gate.near.asked(1);
     if (spend) gate.further.spend();
+    const Time begin_within = gate.may_begin_within(p, now);
     if (n.suspect) judge.tried(n, p.multiget->op->usual, now);
     gate.cold.sent(n, now);
     gate.near.sent(n);
@@ -512,7 +520,8 @@
     ++s->call->parts, ++s->call->parts_out;
     n.out.push_back(s.get());
     p.sends.push_back(std::move(s));
-    return {Decision::Kind::send, p.id, n.id, 0, false, lateness.useful_until(*p.multiget) - now, 0};
+    const Time time_out = lateness.useful_until(*p.multiget) - now;
+    return {Decision::Kind::send, p.id, n.id, 0, false, time_out, 0, begin_within};
   }
 
   // Nothing more comes of the multiget, and what is still out for it is called off.
--- a/src/decide.h
+++ b/src/decide.h
@@ -19,7 +19,7 @@
 
 struct Decision {
   enum class Kind {
-    send,       // request (a part), node, span (its time-out)
+    send,       // request (a part), node, span (its time-out), begin_within
     cancel,     // request (a part), send_index
     answer,     // request (a multiget), whole
     push_back,  // request, span (when to return; 0 = no advice)
@@ -36,6 +36,9 @@
   bool whole = false;
   Time span = 0;
   std::uint64_t token = 0;
+  // Of an attempt that waits for its connection: not to be begun later than this, as what makes it safe ends
+  // then.
+  Time begin_within = kNever;
 };
 
 // What may be sent to a zone.
--- a/src/hosts/frames/sender.cpp
+++ b/src/hosts/frames/sender.cpp
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 
 #include <algorithm>
 #include <deque>
@@ -91,6 +92,17 @@
   // Carries nothing new. One send in vain may just have been slow.
   bool mute() const { return in_vain > 1 && silence > sender->limits_.connect_within / kVainShare; }
   std::size_t calls() const { return waiting.size() + under_way.size(); }
+  // Danger: the node closes an idle connection as it is used again. What is written then is lost, and may
+  // have run for all that is known here. Bytes on an idle connection answer nothing, unless something was
+  // given up there: it is left to be read first. Harm: a system call for each call made.
+  bool reusable() const {
+    if (!up) return true;
+    const bool awaits_bytes = calls() > 0 || !given_up.empty();
+    if (!awaits_bytes && evbuffer_get_length(bufferevent_get_input(bev)) > 0) return false;
+    pollfd state{bufferevent_getfd(bev), POLLIN | POLLRDHUP, 0};
+    if (poll(&state, 1, 0) <= 0) return true;
+    return (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0 && awaits_bytes;
+  }
   std::uint64_t written() const { return handed - evbuffer_get_length(bufferevent_get_output(bev)); }
 };
 
@@ -190,7 +202,8 @@
 Sender::Link* Sender::link_with_room(Node& n) {
   Link* fewest = nullptr;
   for (auto& link : n.links)
-    if (link->to == n.address && !link->mute() && (!fewest || link->calls() < fewest->calls()))
+    if (link->to == n.address && !link->mute() && (!fewest || link->calls() < fewest->calls()) &&
+        link->reusable())
       fewest = link.get();
   if (fewest && fewest->calls() < static_cast<std::size_t>(limits_.calls_a_connection)) return fewest;
   if (open_ >= limits_.connections && !fewest) let_go_idle();
@@ -241,10 +254,10 @@
       [](bufferevent*, void* at) {
         guarded("node write", [l = static_cast<Link*>(at)] {
           Sender* s = l->sender;
-          const bool looks = s->look_ && !l->waiting.empty();
-          if (looks) s->look_();
+          const bool begins = !l->waiting.empty();
+          if (begins && s->look_) s->look_();
           s->write(*l);
-          if (looks) s->turn_();
+          if (begins) s->turn_();
         });
       },
       [](bufferevent*, short what, void* at) {
@@ -273,8 +286,24 @@
   break_off(link, what & BEV_EVENT_EOF ? "ended by the node" : link.up ? "reset" : "refused");
 }
 
+// Danger: a connection comes up late. The client has no time left, or repeats are no longer dropped, and the
+// attempt would be told a time that is none or take effect twice.
+void Sender::withdraw_expired(Link& link) {
+  std::vector<std::pair<OnWay*, End>> expired;
+  const Time at = now();
+  for (const auto& call : link.waiting)
+    for (OnWay* way : call->parts) {
+      if (way->errand->until <= at)
+        expired.emplace_back(way, End::timed_out);
+      else if (way->errand->begin_by < at)
+        expired.emplace_back(way, End::given_up);
+    }
+  for (const auto& [way, why] : expired) stop(*way, why);
+}
+
 // Hands over what waits as long as the kernel takes it.
 void Sender::write(Link& link) {
+  withdraw_expired(link);
   evbuffer* output = bufferevent_get_output(link.bev);
   while (!link.waiting.empty() && evbuffer_get_length(output) < kHandedMost) {
     std::unique_ptr<Call> call = std::move(link.waiting.front());
--- a/src/hosts/frames/sender.h
+++ b/src/hosts/frames/sender.h
@@ -43,6 +43,7 @@
   Link* open(Node& node);
   void let_go_idle();
   void write(Link& link);
+  void withdraw_expired(Link& link);
   void readable(Link& link);
   void happened(Link& link, short what);
   const char* take_frame(Link& link, std::string_view bytes);  // what is wrong with it, or null
