Clients: departures behind early bytes, requests that waited, the shutdown's last instants

Seen over loopback, the program before against the scenarios kept here; each fails on it: - cross_left_behind_bytes: a client writes a second request while the first is in hand, and closes. Its first request went on ("GAVE UP: the program says nothing" where the give-up is awaited). At fault: hear_of_end dropped its event at the first early byte. Such clients are now looked at every 20 ms (POLLRDHUP); an event for the close alone would spin on a reset, which libevent reports as readable only. - cross_left_unread: request and close both lie at the socket before the program reads: an attempt was sent ("node 1 reads: Am1.0"). request() now looks for the close first. - cross_waited_behind: a pipelined request with 0.2 s left was sent on after 0.3 s behind another, and servers were told a time that was not left. ArrivalTimes keeps when bytes came; the wait is taken off, and what has none left is refused. - cross_stop_backlog: a connection accepted in the turn in which the door closes got "connection ended": quiet() knew of doors alone, not of connections that have none yet. The listener stays open while it has a backlog, 50 turns at most. - closing_order_idle, closing_order_slow_writer: a request's last bytes come after the loop has polled and before the closing timer is called; the connection was closed over them. Health is 200 from the first list that names one. cross_stop_thrice (SIGTERM, SIGHUP, SIGTERM with work out) passed before. The pause after a failed accept no longer opens a listener that has closed, nor one whose owner has gone.

--- a/src/fronts/http/take_in.cpp
+++ b/src/fronts/http/take_in.cpp
@@ -7,6 +7,7 @@
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -17,6 +18,7 @@
 #include <stdexcept>
 
 #include "base/clock.h"
+#include "fronts/http/arrival_times.h"
 
 namespace cairnhub::broker {
 
@@ -32,6 +34,11 @@
 // While accepting pauses: how long one may say nothing after it connected.
 constexpr Time kSilentPaused = 250 * kSecond / 1000;
 constexpr Time kLookEvery = 50 * kSecond / 1000;
+// A client that left is heard of within 0.1 s; one that wrote ahead of its time has to be looked at for that.
+constexpr Time kEarlyBytesLookEvery = 20 * kSecond / 1000;
+// While the process shuts down: how long a connection that said nothing may still say something, and how long
+// requests that follow each other without a gap are answered before their connection is closed all the same.
+constexpr Time kSilentClosing = 250 * kSecond / 1000, kPipelineClosing = kSecond;
 
 std::size_t input_length(evhttp_connection* c) {
   return evbuffer_get_length(bufferevent_get_input(evhttp_connection_get_bufferevent(c)));
@@ -44,6 +51,14 @@
   ioctl(bufferevent_getfd(evhttp_connection_get_bufferevent(c)), FIONREAD, &bytes);
   return bytes;
 }
+// Bytes wait at the socket that the next turn of the loop reads. Danger: closed over them, the connection is
+// reset, and the request they end is lost.
+bool about_to_read(evhttp_connection* c) { return unread(c) > 0 && input_length(c) < kInputMost; }
+// The client has closed its side, whatever it wrote before.
+bool client_left(int fd) {
+  pollfd state{fd, POLLRDHUP, 0};
+  return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
 
 // What is wrong with the way a request says where it ends, or null. Danger: another request hidden in the
 // body of one that two readers would end at different places.
@@ -78,13 +93,17 @@
   bool has_asked = false;            // a whole request, at some time
   Time since = now();                // accepted, or last answered
   Time begun = 0;                    // first byte of a request that isn't whole yet; 0 = none
+  bool early_bytes = false;          // came while a request is in hand, and wait at the socket
+  ArrivalTimes arrivals = {};
 
   ~Door();
   // Nothing asked, nothing begun, nothing left to write.
   bool at_rest() const { return !asked && !begun && output_length(connection) == 0; }
-  static void came(evbuffer*, const evbuffer_cb_info* info, void* door) {
-    Time& begun = static_cast<Door*>(door)->begun;
-    if (info->n_added > 0 && begun == 0) begun = now();
+  static void came(evbuffer*, const evbuffer_cb_info* info, void* at) {
+    if (info->n_added == 0) return;
+    Door& door = *static_cast<Door*>(at);
+    door.arrivals.read(info->n_added, now());
+    if (door.begun == 0) door.begun = now();
   }
 };
 
@@ -102,6 +121,7 @@
     evhttp_request* r = std::exchange(d.asked, nullptr);
     d.leave = nullptr;
     event_del(d.end);
+    d.early_bytes = false;
     d.since = now();
     d.begun = input_length(d.connection) > 0 ? d.since : 0;
     evkeyvalq* headers = evhttp_request_get_output_headers(r);
@@ -111,7 +131,7 @@
                                       : "text/plain");
     if (!come_back.empty()) evhttp_add_header(headers, "Retry-After", std::string(come_back).c_str());
     // Danger: behind a request that can't be used there may be anything.
-    const bool last = d.home->last_answers_ || (status >= 400 && status < 500);
+    const bool last = d.home->answers_last(d) || (status >= 400 && status < 500);
     if (last) evhttp_add_header(headers, "Connection", "close");
     evbuffer_add(evhttp_request_get_output_buffer(r), body.data(), body.size());
     evhttp_send_reply(r, status, nullptr, nullptr);
@@ -133,6 +153,11 @@
       pause_at_(pause_at),
       most_idle_(most_idle),
       look_(base, [this] { look_after(); }),
+      early_bytes_look_(base, [this] { look_at_early_bytes(); }),
+      accept_again_(base,
+                    [this] {
+                      if (!closed_ && !paused_) evconnlistener_enable(listener_);
+                    }),
       admit_(admit),
       route_(route) {
   Address at;
@@ -143,18 +168,15 @@
   if (!listener_) throw std::runtime_error("can't listen at " + listen + ": " + std::strerror(errno));
   evhttp_bind_listener(http_, listener_);
   // Danger: with no descriptor left an accept fails at once, again and again. The library keeps its own word
-  // with this callback, so what it needs is the listener alone.
+  // with this callback, which is the same for all listeners of the program.
+  accepting_ = this;
   evconnlistener_set_error_cb(listener_, [](evconnlistener* l, void*) {
     const int why = errno;
     guarded("accept", [&] {
       log("descriptors", "a connection can't be accepted: %s", evutil_socket_error_to_string(why));
     });
     evconnlistener_disable(l);
-    const timeval pause{0, kLookEvery / 1000};
-    event_base_once(
-        evconnlistener_get_base(l), -1, EV_TIMEOUT,
-        [](evutil_socket_t, short, void* at) { evconnlistener_enable(static_cast<evconnlistener*>(at)); }, l,
-        &pause);
+    if (accepting_) accepting_->accept_again_.start(kLookEvery);
   });
   evhttp_set_max_headers_size(http_, kLargestHeaders);
   evhttp_set_max_body_size(http_, kLargestBody);
@@ -184,6 +206,7 @@
 }
 
 TakeIn::~TakeIn() {
+  accepting_ = nullptr;
   for (auto& [connection, door] : doors_) evhttp_connection_set_closecb(connection, nullptr, nullptr);
   doors_.clear();
   for (bufferevent* bev : fresh_) bufferevent_decref(bev);
@@ -220,7 +243,10 @@
   // the connection goes when its time for a whole request is up.
   bufferevent_setwatermark(bev, EV_READ, 0, kInputMost);
   evbuffer_add_cb(bufferevent_get_input(bev), Door::came, slot.get());
-  if (input_length(connection) > 0) slot->begun = slot->since;
+  if (const std::size_t already = input_length(connection); already > 0) {
+    slot->begun = slot->since;
+    slot->arrivals.read(already, slot->since);
+  }
   return *slot;
 }
 
@@ -255,6 +281,7 @@
 bool TakeIn::overstays(const Door& door) const {
   if (door.asked || output_length(door.connection) > 0) return false;
   const Time at = now();
+  if (closed_ && !door.begun && (door.has_asked || at - door.since > kSilentClosing)) return true;
   if (!door.has_asked) return at - door.since > (paused_ && !door.begun ? kSilentPaused : kWholeWithin);
   return door.begun && at - door.begun > kWholeWithin;
 }
@@ -263,7 +290,7 @@
 void TakeIn::let_go(F which) {
   std::vector<evhttp_connection*> over;
   for (auto& [connection, door] : doors_)
-    if (which(*door)) over.push_back(connection);
+    if (which(*door) && !about_to_read(connection)) over.push_back(connection);
   for (evhttp_connection* c : over) evhttp_connection_free(c);  // ends in gone()
 }
 
@@ -271,16 +298,23 @@
   Door& door = door_of(evhttp_request_get_connection(r));
   door.asked = r;
   door.has_asked = true, door.begun = 0;
+  const Time at = now();
+  const Time waited = at - door.arrivals.last_taken(input_length(door.connection), at);
   hear_of_end(door);
+  // Danger: nothing may be sent on for a client that has gone. The event of its end, just asked for, closes.
+  if (client_left(bufferevent_getfd(evhttp_connection_get_bufferevent(door.connection)))) return;
   std::unique_ptr<Reply> reply = std::make_unique<Waiting>(door);
   if (const char* wrong = framing(r)) return reply->answer(400, "", std::string(wrong) + "\n");
   const char* stated = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(r));
   const std::string_view path = stated ? stated : "";
   if (path == "/_health")
-    return ready_ ? reply->answer(200, "", "ready\n") : reply->answer(503, "", "leaving\n");
+    return ready_ && can_serve_ ? reply->answer(200, "", "ready\n")
+                                : reply->answer(503, "", ready_ ? "no servers known yet\n" : "leaving\n");
   const auto front =
       std::find_if(fronts_.begin(), fronts_.end(), [&](const Front* f) { return f->takes(path); });
   const bool post = evhttp_request_get_command(r) == EVHTTP_REQ_POST;
+  // Danger: what is sent on so late may be unanswered when the process is killed.
+  if (closed_) return reply->answer(503, "", "leaving; trying again elsewhere is harmless\n");
   if (!post && front == fronts_.end()) return reply->answer(405, "", "only POST here\n");
   const evkeyvalq* headers = evhttp_request_get_input_headers(r);
   const auto header = [&](const char* name) -> const char* {
@@ -297,6 +331,7 @@
               header("X-Remaining"),
               header("X-Resent"),
               {n ? reinterpret_cast<const char*>(evbuffer_pullup(body, -1)) : "", n}};
+  asked.waited = waited;
   std::function<void()> leave;
   if (front != fronts_.end()) {
     const char* parameters = evhttp_uri_get_query(evhttp_request_get_evhttp_uri(r));
@@ -321,9 +356,7 @@
             char byte;
             const ssize_t got = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
             if (got < 0 && (errno == EAGAIN || errno == EINTR)) return;
-            // Bytes ahead of their time wait until the answer is out; looking at them again and again would
-            // spin.
-            if (got > 0) return static_cast<void>(event_del(d.end));
+            if (got > 0 && !client_left(fd)) return d.home->keep_early_bytes(d);
             evhttp_connection_free(d.connection);  // ends in gone()
           });
         },
@@ -331,6 +364,28 @@
   event_add(door.end, nullptr);
 }
 
+// Bytes ahead of their time wait until the answer is out: the parser reads one request at a time, and an
+// event for them would come again and again. Danger: behind them the client's leaving isn't heard.
+void TakeIn::keep_early_bytes(Door& door) {
+  event_del(door.end);
+  door.early_bytes = true;
+  door.arrivals.seen_unread(now());
+  if (!early_bytes_look_.pending()) early_bytes_look_.start(kEarlyBytesLookEvery);
+}
+
+void TakeIn::look_at_early_bytes() {
+  std::vector<evhttp_connection*> left;
+  bool any = false;
+  for (auto& [connection, door] : doors_) {
+    if (!door->early_bytes) continue;
+    any = true;
+    if (client_left(bufferevent_getfd(evhttp_connection_get_bufferevent(connection))))
+      left.push_back(connection);
+  }
+  if (any) early_bytes_look_.start(kEarlyBytesLookEvery);
+  for (evhttp_connection* c : left) evhttp_connection_free(c);  // ends in gone()
+}
+
 void TakeIn::gone(evhttp_connection* connection) {
   const auto it = doors_.find(connection);
   if (it == doors_.end()) return;
@@ -341,8 +396,23 @@
 
 void TakeIn::last_answers() { last_answers_ = true; }
 
+// Danger: a request that was read, or whose bytes wait at the socket, behind the one now answered would go
+// with the connection. It is answered first, within bounds.
+bool TakeIn::answers_last(const Door& door) const {
+  if (!last_answers_) return false;
+  if (closed_ && now() - closed_at_ > kPipelineClosing) return true;
+  return input_length(door.connection) == 0 && unread(door.connection) == 0;
+}
+
+bool TakeIn::has_backlog() const {
+  if (paused_ || closed_) return false;
+  pollfd state{evconnlistener_get_fd(listener_), POLLIN, 0};
+  return poll(&state, 1, 0) > 0;
+}
+
 void TakeIn::close_door() {
   closed_ = true;
+  closed_at_ = now();
   evconnlistener_disable(listener_);
   // Danger: the system would go on accepting into its queue, and what asks there would never be answered.
   shutdown(evconnlistener_get_fd(listener_), SHUT_RD);
--- a/src/fronts/http/take_in.h
+++ b/src/fronts/http/take_in.h
@@ -38,10 +38,15 @@
          Route& route);
   ~TakeIn();
 
-  void not_ready() { ready_ = false; }           // whoever asks for its health is told so
-  void last_answers();                           // from now on each answer ends its connection
-  void close_door();                             // accepts no more and lets idle connections go
-  bool quiet() const { return doors_.empty(); }  // every answer is written
+  void not_ready() { ready_ = false; }  // whoever asks for its health is told so
+  // Health is answered with 200 only from now on. Danger: a process that knows no server would be given
+  // clients to turn away.
+  void can_serve() { can_serve_ = true; }
+  void last_answers();  // from now on each answer ends its connection
+  // Connections wait to be accepted, and can be in the next turn of the loop.
+  bool has_backlog() const;
+  void close_door();  // accepts no more and lets idle connections go; what is read from now on is refused
+  bool quiet() const { return doors_.empty() && fresh_.empty(); }  // every answer is written
 
  private:
   class Waiting;
@@ -53,21 +58,28 @@
   void accepted();
   void look_after();
   bool overstays(const Door& door) const;
+  bool answers_last(const Door& door) const;
+  void keep_early_bytes(Door& door);
+  void look_at_early_bytes();
   template <class F>
   void let_go(F which);
 
+  static inline TakeIn* accepting_ = nullptr;
   event_base* base_;
   evhttp* http_ = nullptr;
   evconnlistener* listener_ = nullptr;
   int pause_at_;
   std::size_t most_idle_;
   Timer look_;
+  Timer early_bytes_look_;  // at clients that wrote ahead: whether they have left
+  Timer accept_again_;
   Admit& admit_;
   Route& route_;
   std::vector<Front*> fronts_;
   std::vector<bufferevent*> fresh_;  // accepted in this turn of the loop; held until they get their doors
   std::map<evhttp_connection*, std::unique_ptr<Door>> doors_;
-  bool paused_ = false, last_answers_ = false, closed_ = false, ready_ = true;
+  Time closed_at_ = 0;
+  bool paused_ = false, last_answers_ = false, closed_ = false, ready_ = true, can_serve_ = false;
 };
 
 }  // namespace cairnhub::broker
--- a/src/fronts/platform/admit.cpp
+++ b/src/fronts/platform/admit.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t kLongestName = 128;
 // The parts' shares may miss 1 by so much, all together.
 constexpr double kRounding = 0.001;
+constexpr const char* kNoSuchOpType = "no such op type";
+constexpr const char* kTimeIsUp = "its time was up before it was read; trying again is harmless";
 
 bool number(const char* text, double& into) {
   const char* end = text + std::strlen(text);
@@ -42,7 +44,7 @@
 RequestId Admit::take(const Asked& asked, std::unique_ptr<Reply> reply) {
   auto query = std::make_unique<Query>();
   if (const char* wrong = read(asked, *query)) {
-    reply->answer(std::strcmp(wrong, "no such op type") == 0 ? 404 : 400, "", std::string(wrong) + "\n");
+    reply->answer(status_of(wrong), "", std::string(wrong) + "\n");
     return 0;
   }
   if (full()) {
@@ -55,6 +57,11 @@
   return id;
 }
 
+int Admit::status_of(const char* wrong) {
+  if (wrong == kNoSuchOpType) return 404;
+  return wrong == kTimeIsUp ? 503 : 400;
+}
+
 const char* Admit::read(const Asked& asked, Query& q) const {
   if (const char* wrong = read_head(asked, q)) return wrong;
   const auto json = nlohmann::json::parse(asked.body, nullptr, false);
@@ -67,7 +74,7 @@
 
 const char* Admit::read_head(const Asked& asked, Query& q) const {
   const auto op = op_types_.find(std::string(asked.op_type));
-  if (op == op_types_.end()) return "no such op type";
+  if (op == op_types_.end()) return kNoSuchOpType;
   if (!asked.op_type_said || asked.op_type != asked.op_type_said)
     return "X-Lane is missing or not that of the path";
   if (!asked.name || !plain_name(asked.name)) return "X-Txn is missing or not a plain word";
@@ -78,7 +85,10 @@
   q.name = asked.name;
   q.op_type = op->second.index;
   q.left = static_cast<Time>(std::min(left, seconds(op->second.route_timeout)) * kSecond);
-  q.left = std::min(q.left, route_.limits(q.op_type).time_most);
+  // Danger: a request that waited behind another one would be taken for longer than its client waits, and
+  // servers be told a time that is not left.
+  q.left = std::min(q.left, route_.limits(q.op_type).time_most) - asked.waited;
+  if (q.left <= 0) return kTimeIsUp;
   q.client_retry = asked.retry && std::strcmp(asked.retry, "1") == 0;
   return nullptr;
 }
--- a/src/fronts/platform/admit.h
+++ b/src/fronts/platform/admit.h
@@ -17,6 +17,7 @@
   const char *name, *op_type_said, *time_left, *retry;
   std::string_view body;
   std::string_view method = "POST", path = {}, parameters = {};  // of the URL, as they came
+  Time waited = 0;  // since its last byte came, behind other requests of its connection
 };
 
 class Admit {
@@ -30,6 +31,8 @@
   const char* read_head(const Asked& asked, Query& into) const;  // all but the body
   const char* read_parts(const nlohmann::json& body, Query& into) const;
   bool full() const { return book_.full(); }
+  // The HTTP status that says so of what read_head or read_parts found wrong.
+  static int status_of(const char* wrong);
 
  private:
   struct OpRead {
--- a/src/fronts/two_phase/front.cpp
+++ b/src/fronts/two_phase/front.cpp
@@ -95,7 +95,7 @@
   broker::Query head;
   phases::Query query;
   if (const char* wrong = admit_.read_head(asked, head)) {
-    reply->answer(std::strcmp(wrong, "no such op type") == 0 ? 404 : 400, "", std::string(wrong) + "\n");
+    reply->answer(broker::Admit::status_of(wrong), "", std::string(wrong) + "\n");
   } else if (!phased_.allowed(head.op_type)) {
     reply->answer(403, "", "two-phase multigets of this op type are not allowed\n");
   } else if (phased_.holds(head.name)) {
--- a/src/server/broker.cpp
+++ b/src/server/broker.cpp
@@ -20,6 +20,8 @@
 // For so long after a stop is asked for, clients may still come.
 constexpr Time kStillComing = 450 * kSecond / 1000;
 constexpr Time kLookAgain = 5 * kSecond / 1000;
+// A flood of new connections keeps the listener open for so many turns of the loop at most.
+constexpr int kBacklogTurns = 50;
 // An idle connection to a node is let go after this share of the time after which the node would.
 constexpr double kIdleShare = 0.75;
 // Of the descriptors, for the loop, the log, the watch and the listener, with some to spare; of the rest a
@@ -61,6 +63,7 @@
   std::function<void()> done;
   Timer closing;
   bool door_closed = false;
+  int backlog_turns = 0;  // that the listener was kept open for
   Common* common = nullptr;
   std::unordered_map<NodeId, int> out;  // sends, where something is in common; looked up, never walked
 
@@ -92,6 +95,7 @@
         watch(base, c.discovery, members,
               [this](bool told) {
                 if (!told) decider.list_failed(now());
+                if (members.ready() > 0) take_in.can_serve();
                 route.turn();
               }),
         take_in(base, c.listen, pause_at(c), c.descriptors / kIdleClients, admit, route),
@@ -136,6 +140,7 @@
     if (!c.known.empty())
       if (const char* wrong = members.take(c.known))
         log("discovery", "the list in the configuration: %s", wrong);
+    if (members.ready() > 0) take_in.can_serve();
     route.turn();
     watch.call();
   }
@@ -166,7 +171,10 @@
     each_op_type([this](int i, int from) { decider.keep_near(i, common->stays_near(from)); });
   }
 
+  // Danger: connections that the system has completed and nobody has accepted would be reset with the
+  // listener.
   void close() {
+    if (!door_closed && take_in.has_backlog() && backlog_turns++ < kBacklogTurns) return closing.start(0);
     if (!std::exchange(door_closed, true)) take_in.close_door();
     if (book.held() > 0 || !take_in.quiet()) return closing.start(kLookAgain);
     done();
