Polled lists keep their own pace; slow writers are told; the budget counts late beginnings

Ruled out: the grace and the withdrawing of attempts (no list was taken at all). At fault: a call every 1.4 s given up after 2.1 s, where one service answers all brokers with a call each in some seconds and queues the rest; what it answered late had been given up and asked for again. Now polled lists have a timing of their own: waits drawn between 3 and 5 s, a refused call repeated as it was, a silent one followed by one for changes that waits 0.5 s.

--- a/src/broker/watch.cpp
+++ b/src/broker/watch.cpp
@@ -12,20 +12,48 @@
 
 namespace {
 
-// A change has to be acted on within 6 s of discovery having it, whatever becomes of calls in between. One
-// silent call takes 2.1 s to be noticed and each further one, which asks for the whole list and so is
-// answered at once, 0.7 s: four calls in a row may fail before that time is up.
-constexpr int kChangeWaitMs = 1400;
-constexpr Time kAnswerWithin = 700 * kSecond / 1000;
+constexpr Time kMs = kSecond / 1000;
 // A watch goes on where the next call comes within 200 ms: the first retry keeps to that.
-constexpr Time kFirstRetry = 50 * kSecond / 1000, kLongestRetry = 400 * kSecond / 1000;
+constexpr Time kFirstRetry = 50 * kMs;
+// Of a call for changes that follows a failed one: a further silence is to be noticed soon.
+constexpr Time kWaitAfterFailure = 500 * kMs;
 constexpr std::size_t kLargestList = 4 << 20;
+constexpr const char* kRefused = "not a 200";
 
 }  // namespace
 
-Watch::Watch(event_base* base, const std::string& discovery, Members& members,
-             std::function<void(bool)> on_update)
+// A change has to be acted on within 6 s of discovery having it, whatever becomes of calls in between. One
+// silent call takes 2.1 s to be noticed and each further one, for the whole list, 0.7 s: four calls in a row
+// may fail before that time is up.
+WatchTiming WatchTiming::pushed() {
+  return {.shortest_wait = 1400 * kMs,
+          .longest_wait = 1400 * kMs,
+          .answer_within = 700 * kMs,
+          .answer_within_after_failure = 700 * kMs,
+          .longest_retry = 400 * kMs,
+          .whole_list_after_failure = true};
+}
+
+// What a silent call misses counts as told 6 s after it fell silent, or 2 s after its wait, if that is later:
+// it is given up a second before that at the latest. Danger: calls at the pace of pushed lists use up the
+// service, so that none is answered in time, is given up and made again. Danger: all brokers call at the same
+// moment, after a change that was told to all of them or a silence that began with it, and some are refused
+// until it is too late; so the waits differ, and a failed call is followed by one that costs the service
+// least.
+WatchTiming WatchTiming::polled() {
+  return {.shortest_wait = 3000 * kMs,
+          .longest_wait = 5000 * kMs,
+          .answer_within = 1000 * kMs,
+          .answer_within_after_failure = 2000 * kMs,
+          .longest_retry = 1000 * kMs,
+          .whole_list_after_failure = false};
+}
+
+Watch::Watch(event_base* base, const std::string& discovery, WatchTiming timing, std::uint64_t seed,
+             Members& members, std::function<void(bool)> on_update)
     : base_(base),
+      timing_(timing),
+      random_(static_cast<std::mt19937::result_type>(seed)),
       members_(members),
       on_update_(std::move(on_update)),
       next_call_(base, [this] { call(); }),
@@ -67,15 +95,13 @@
   if (connection_) evhttp_connection_free(std::exchange(connection_, nullptr));
 }
 
-bool Watch::waits_for_changes() const { return members_.held() && !whole_list_; }
-
 void Watch::call() {
   // Danger: after a failed call its connection may still bring an answer, which would be taken for the next
   // one's.
   if (retry_wait_ > 0) stop();
   if (!connection_) {
     connection_ = evhttp_connection_base_bufferevent_new(base_, nullptr, nullptr, host_.c_str(), port_);
-    if (!connection_) return next_call_.start(kLongestRetry);
+    if (!connection_) return next_call_.start(timing_.longest_retry);
     evhttp_connection_set_max_body_size(connection_, kLargestList);
   }
   called_at_ = now();
@@ -87,11 +113,16 @@
   evhttp_add_header(evhttp_request_get_output_headers(request), "Host",
                     (host_ + ":" + std::to_string(port_)).c_str());
   std::string path = "/catalog/members";
-  if (waits_for_changes())
-    path += "?since=" + std::to_string(members_.revision()) + "&timeout_ms=" + std::to_string(kChangeWaitMs);
+  const bool failed = last_call_ == LastCall::failed;
+  const bool whole_list = !members_.held() || whole_list_ || (failed && timing_.whole_list_after_failure);
+  std::uniform_int_distribution<Time> drawn(timing_.shortest_wait / kMs, timing_.longest_wait / kMs);
+  const Time wait = whole_list ? 0 : failed ? kWaitAfterFailure : drawn(random_) * kMs;
+  if (!whole_list)
+    path += "?since=" + std::to_string(members_.revision()) + "&timeout_ms=" + std::to_string(wait / kMs);
   // Danger: the library's own time-outs begin anew with each byte, so that an answer without end would never
   // end.
-  deadline_.start((waits_for_changes() ? kChangeWaitMs * kSecond / 1000 : 0) + kAnswerWithin);
+  const bool first = last_call_ == LastCall::answered && !whole_list;
+  deadline_.start(wait + (first ? timing_.answer_within : timing_.answer_within_after_failure));
   // A request that can't be made is gone with the failure.
   if (evhttp_make_request(connection_, request, EVHTTP_REQ_GET, path.c_str()) != 0)
     on_failure("can't be called");
@@ -100,7 +131,7 @@
 const char* Watch::take_answer(evhttp_request* request) {
   const int status = request ? evhttp_request_get_response_code(request) : 0;
   if (status == 0) return "no answer";
-  if (status != 200) return "not a 200";
+  if (status != 200) return kRefused;
   evbuffer* body = evhttp_request_get_input_buffer(request);
   const std::size_t length = evbuffer_get_length(body);
   const char* bytes = length ? reinterpret_cast<const char*>(evbuffer_pullup(body, -1)) : "";
@@ -110,8 +141,10 @@
 void Watch::on_answer(evhttp_request* request) {
   deadline_.stop();
   const auto revision = members_.revision();
-  if (const char* reason = take_answer(request)) return on_failure(reason);
+  if (const char* reason = take_answer(request))
+    return on_failure(reason, reason == kRefused ? LastCall::refused : LastCall::failed);
   whole_list_ = false;
+  last_call_ = LastCall::answered;
   // Danger: an agent that answers at once with nothing new would be asked without end.
   const bool at_once = members_.revision() == revision && now() - called_at_ < kFirstRetry;
   retry_wait_ = 0;
@@ -125,14 +158,12 @@
   on_failure("silent for too long");
 }
 
-// Danger: what a failed call would have told. Only the whole list surely has it, and it is answered at once,
-// so that a further silence is noticed soon.
-void Watch::on_failure(const char* reason) {
+void Watch::on_failure(const char* reason, LastCall how) {
   deadline_.stop();
   log("discovery", "%s; the list in hand stays, revision %llu", reason,
       static_cast<unsigned long long>(members_.revision()));
-  whole_list_ = true;
-  retry_wait_ = retry_wait_ == 0 ? kFirstRetry : std::min(2 * retry_wait_, kLongestRetry);
+  last_call_ = how;
+  retry_wait_ = retry_wait_ == 0 ? kFirstRetry : std::min(2 * retry_wait_, timing_.longest_retry);
   next_call_.start(retry_wait_);
   on_update_(false);
 }
--- a/src/broker/watch.h
+++ b/src/broker/watch.h
@@ -4,7 +4,9 @@
 #pragma once
 #include <event2/event.h>
 
+#include <cstdint>
 #include <functional>
+#include <random>
 #include <string>
 
 #include "base/timer.h"
@@ -15,11 +17,27 @@
 
 namespace cairnhub::broker {
 
+// How long calls wait, and how soon one is given up or made again.
+struct WatchTiming {
+  // A call for changes asks to be answered after so long at the latest; drawn anew each time.
+  Time shortest_wait, longest_wait;
+  Time answer_within;                // beyond that wait
+  Time answer_within_after_failure;  // likewise, of the call that follows one that failed
+  Time longest_retry;                // between failed calls
+  bool whole_list_after_failure;     // else the changes since the list in hand, with a short wait
+
+  // Calls cost nothing and are answered at once.
+  static WatchTiming pushed();
+  // One service answers all brokers, with a call from each of them every few seconds, and refuses what is
+  // more.
+  static WatchTiming polled();
+};
+
 class Watch {
  public:
   // `on_update` is called after each call has ended; its argument tells whether the list was updated.
-  Watch(event_base* base, const std::string& discovery, Members& members,
-        std::function<void(bool)> on_update);
+  Watch(event_base* base, const std::string& discovery, WatchTiming timing, std::uint64_t seed,
+        Members& members, std::function<void(bool)> on_update);
   ~Watch();
   void call();
   // Follows another address from now on, beginning with its whole list.
@@ -29,18 +47,21 @@
   void stop();
 
  private:
+  enum class LastCall { answered, refused, failed };
+
   void set_address(const std::string& discovery);
-  bool waits_for_changes() const;
   void on_answer(evhttp_request* request);
   void on_deadline();
-  void on_failure(const char* reason);
+  void on_failure(const char* reason, LastCall how = LastCall::failed);
   const char* take_answer(evhttp_request* request);  // what is wrong with it, or null
 
   event_base* base_;
+  const WatchTiming timing_;
   std::string host_;
   std::uint16_t port_ = 0;
-  // The next call asks for the whole list: after a failure, or a move from which nothing was heard yet.
-  bool whole_list_ = false;
+  bool whole_list_ = false;  // moved, or known to be behind, and nothing heard since
+  LastCall last_call_ = LastCall::answered;
+  std::mt19937 random_;
   Members& members_;
   std::function<void(bool)> on_update_;
   evhttp_connection* connection_ = nullptr;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -133,7 +133,10 @@
 // Rule 6 where a budget is stated, and what this broker saves up for rescues everywhere.
 class FurtherSends {
  public:
-  void set(double free, double share, Time window) { free_ = free, share_ = share, window_ = window; }
+  // `latest_begin`: after an attempt was decided on.
+  void set(double free, double share, Time window, Time latest_begin) {
+    free_ = free, share_ = share, window_ = window, latest_begin_ = latest_begin;
+  }
   void taken(Time now) {
     if (window_ > 0) taken_.push_back(now);
   }
@@ -142,7 +145,8 @@
     // What arrived a window ago may or may not still count: drop it early; what was sent then: keep it
     // longer.
     while (!taken_.empty() && taken_.front() <= now - window_) taken_.pop_front();
-    while (!sent_.empty() && sent_.front() < now - window_) sent_.pop_front();
+    // Danger: attempts that waited for their connections begin together with those decided on a window later.
+    while (!sent_.empty() && sent_.front() + latest_begin_ < now - window_) sent_.pop_front();
     return static_cast<double>(sent_.size()) + 1 <= free_ + share_ * static_cast<double>(taken_.size());
   }
   bool saved() const { return saved_ >= 1; }
@@ -155,7 +159,7 @@
 
  private:
   double free_ = 0, share_ = 0, saved_ = kRescueMost / 4;
-  Time window_ = 0;
+  Time window_ = 0, latest_begin_ = 0;
   std::deque<Time> taken_, sent_;
 };
 
@@ -801,8 +805,8 @@
   impl_->gate.set(most_a_part, second_copies);
   impl_->may_cancel = cancel;
 }
-void Decider::set_send_budget(double free, double share, Time window) {
-  impl_->gate.further.set(free, share, window);
+void Decider::set_send_budget(double free, double share, Time window, Time latest_begin) {
+  impl_->gate.further.set(free, share, window, latest_begin);
 }
 void Decider::set_pushback(bool may_say_when, Time longest_wait) {
   impl_->may_say_when = may_say_when, impl_->longest_wait = longest_wait;
--- a/src/decide.h
+++ b/src/decide.h
@@ -59,7 +59,8 @@
   void add_op_type(const OpType& op);
   void set_layout(int cells, int replicas_in_a_row, int parts_a_call);
   void set_sends(int most_a_part, bool second_copies, bool cancel);
-  void set_send_budget(double free, double share, Time window);  // not called: no budget stated
+  // Not called: no budget stated. An attempt decided on may begin so much later as its connection comes up.
+  void set_send_budget(double free, double share, Time window, Time latest_begin = 0);
   void set_pushback(bool may_say_when, Time longest_wait);
   void set_clients(bool mark_retries);
   void set_cold(double cold_from, Time warm_after, double fall_multiple, Time fall_span);
--- a/src/fronts/http/take_in.cpp
+++ b/src/fronts/http/take_in.cpp
@@ -286,12 +286,29 @@
   return door.begun && at - door.begun > kWholeWithin;
 }
 
+// Says why a connection is closed to a client that has begun to ask. Danger: it would take the close for a
+// broker that died with its request. Nothing waits to be written before it, and what the system doesn't take
+// at once is not tried again.
+void TakeIn::refuse_unfinished(const Door& door) {
+  constexpr std::string_view kTooSlow =
+      "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\nContent-Length: 51\r\nConnection: "
+      "close\r\n\r\n"
+      "the request came too slowly; nothing of it was used";
+  if (!door.begun) return;
+  const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(door.connection));
+  if (send(fd, kTooSlow.data(), kTooSlow.size(), MSG_DONTWAIT | MSG_NOSIGNAL) < 0)
+    log("clients", "one that wrote too slowly can't be told so: %s", std::strerror(errno));
+}
+
 template <class F>
 void TakeIn::let_go(F which) {
   std::vector<evhttp_connection*> over;
   for (auto& [connection, door] : doors_)
     if (which(*door) && !about_to_read(connection)) over.push_back(connection);
-  for (evhttp_connection* c : over) evhttp_connection_free(c);  // ends in gone()
+  for (evhttp_connection* c : over) {
+    refuse_unfinished(*doors_.at(c));
+    evhttp_connection_free(c);  // ends in gone()
+  }
 }
 
 void TakeIn::request(evhttp_request* r) {
--- a/src/fronts/http/take_in.h
+++ b/src/fronts/http/take_in.h
@@ -58,6 +58,7 @@
   void accepted();
   void look_after();
   bool overstays(const Door& door) const;
+  static void refuse_unfinished(const Door& door);
   bool answers_last(const Door& door) const;
   void keep_early_bytes(Door& door);
   void look_at_early_bytes();
--- a/src/server/broker.cpp
+++ b/src/server/broker.cpp
@@ -39,6 +39,10 @@
   return {static_cast<std::size_t>(frames.calls_a_connection), frames.connections, extras.search_body_most,
           frames.idle_at_most};
 }
+// Where the list must be subscribed to, each call loads a service that all brokers share.
+WatchTiming watch_timing(const settings::Settings& s) {
+  return s.text("registry-mode", "automatic") == "subscribe" ? WatchTiming::polled() : WatchTiming::pushed();
+}
 int pause_at(const Config& c) {
   return static_cast<int>(c.descriptors - kOwnDescriptors / 2 -
                           (c.descriptors - kOwnDescriptors) / kNodeShare);
@@ -92,7 +96,7 @@
                   hosts.node(id, e.id, e.address, e.state);
                 }),
         admit(c.settings, book, route),
-        watch(base, c.discovery, members,
+        watch(base, c.discovery, watch_timing(c.settings), c.seed, members,
               [this](bool told) {
                 if (!told) decider.list_failed(now());
                 if (members.ready() > 0) take_in.can_serve();
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -169,7 +169,7 @@
                     s.flag("ceilings.cancel", false));
   if (s.has("rules.resend-span"))
     decider.set_send_budget(s.number("rules.budget-free", 0), s.number("rules.extra-ratio", 0),
-                            s.span("rules.resend-span"));
+                            s.span("rules.resend-span"), s.span("ceilings.connect-timeout", 0));
   decider.set_pushback(s.flag("ceilings.retry-after", false), s.span("ceilings.max-retry-after", 0));
   decider.set_clients(s.flag("callers.marks-retry", false));
   decider.set_cold(s.number("rules.cold-from", 1), s.span("rules.cold", 0),
--- a/tests/closing_order.cpp
+++ b/tests/closing_order.cpp
@@ -34,7 +34,7 @@
                       << R"(","seed":"1f","limits":{"memory_mb":192,"sockets":256},"settings":{"classes":[)"
                       << R"({"name":"all","promise":1,"deadline":1}],)"
                       << R"("family-info":{"positions":1,"width":1,"ranges":1}}})";
-  const Config read = cairnhub::broker::read_config(name);
+  Config read = cairnhub::broker::read_config(name);
   unlink(name);
   return read;
 }
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -5,6 +5,7 @@
 // wait is proof of anything.
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <map>
 #include <memory>
 #include <string>
@@ -45,7 +46,8 @@
     for (int i = 0; i < 2; ++i) {
       fill.emplace_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
       const sockaddr_in at = address(kNode + n.number);
-      connect(fill.back().fd, reinterpret_cast<const sockaddr*>(&at), sizeof at);
+      // In progress, or it will never be: that it doesn't come up is what it is for.
+      static_cast<void>(connect(fill.back().fd, reinterpret_cast<const sockaddr*>(&at), sizeof at));
     }
   }
   // The next attempt to connect, at the system's pace, comes up.
@@ -118,6 +120,34 @@
   c.gets();
 }
 
+// Calls that cost, with waits that differ. A refused one is repeated as it was; one that fell silent is given
+// up and followed by one that waits for a short time.
+void watch_polled() {
+  World w({.cells = 2, .replicas = 2, .subscribe = true});
+  w.ready();
+  const auto asked = [&](const char* how) {
+    if (!w.watch) w.watch = std::make_unique<Peer>(w.discovery.accept());
+    while (w.watch->in.find("\r\n\r\n") == std::string::npos)
+      if (!w.watch->more()) return std::printf("%s: given up\n", how), w.watch.reset();
+    const std::string line = w.watch->in.substr(0, w.watch->in.find(" HTTP"));
+    w.watch->in.clear();
+    const auto at = line.find("timeout_ms=");
+    const int wait = at == std::string::npos ? 0 : std::atoi(line.c_str() + at + 11);
+    std::printf("%s: since the list in hand, wait %s\n", how,
+                wait >= 3000 && wait <= 5000 ? "long"
+                : wait == 500                ? "short"
+                                             : "?");
+  };
+  asked("first");
+  w.watch->write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+  asked("refused");
+  asked("repeated");
+  asked("silent");
+  asked("repeated");
+  w.tells(w.list(2, false, "in_service"));
+  asked("goes on");
+}
+
 void no_servers() {  // a process that knows no server isn't ready; the first list that names one makes it so
   World w({.known = false});
   Node one(1);
@@ -396,6 +426,7 @@
   w.ready();
   w.asked();
   std::vector<std::unique_ptr<Client>> crowd;
+  crowd.reserve(100);
   for (int i = 0; i < 100; ++i) crowd.push_back(std::make_unique<Client>());
   w.watch->reset();
   w.watch.reset();
@@ -419,6 +450,7 @@
       {"watch_endless", watch_endless},
       {"watch_cut_off", watch_cut_off},
       {"watch_down", watch_down},
+      {"watch_polled", watch_polled},
       {"no_servers", no_servers},
       {"left_unread", left_unread},
       {"left_behind_bytes", left_behind_bytes},
--- a/tests/slow_start.cpp
+++ b/tests/slow_start.cpp
@@ -139,7 +139,7 @@
     const bool back = now >= kColdAt + kListed;
     b.decider->list_begins(now, true);
     for (int s = 0; s < kServers; ++s)
-      b.decider->list_node(static_cast<NodeId>(s + 1),
+      b.decider->list_node(static_cast<NodeId>(s) + 1,
                            s == 0 && now > 0 && !back ? NodeState::gone : NodeState::ready,
                            s == 0 && back ? kColdAt : 0, s);
     b.decider->list_ends();
--- a/tests/stand_ins/world.h
+++ b/tests/stand_ins/world.h
@@ -29,6 +29,7 @@
   int log = -1;                // where its log goes; -1: nowhere
   std::string run = {};        // a deploy file's `run`, where the program is to start as it says, confined
   bool known = true;           // the configuration names the nodes
+  bool subscribe = false;      // the list has to be subscribed to
   const char* window = "0.5";  // in which repeats of `keyed` are dropped
 };
 
@@ -74,8 +75,8 @@
           R"("parts-a-call":)" +
           n(s.parts_a_call) + R"(,"positions":)" + n(s.cells) + R"(,"ranges":)" +
           n(s.shards ? s.shards : s.cells) + R"(,"width":)" + n(s.replicas) + R"(},"rules":{"cold":)" +
-          s.cold + R"(,"cold-from":0.2,"fall-multiple":2,"overload-for":)" + s.fall_span +
-          R"(},"tick":0.005}})");
+          s.cold + R"(,"cold-from":0.2,"fall-multiple":2,"overload-for":)" + s.fall_span + R"(},)" +
+          (s.subscribe ? R"("registry-mode":"subscribe",)" : "") + R"("tick":0.005}})");
   }
   ~World() {
     if (pid > 0) kill(pid, SIGKILL), waitpid(pid, nullptr, 0);
--- a/tests/traces.cpp
+++ b/tests/traces.cpp
@@ -227,6 +227,17 @@
   s.run_to(1200);
 }
 
+void budget_late() {  // rule 6: a further send waits 250 ms for its connection; the window counts from then
+  Story s(Story::op(), 3, 3);
+  s.d.set_send_budget(1, 0, kSecond, 250 * kMs);
+  s.nodes(3);
+  s.ask(1, {0, 0});
+  s.back(10, Outcome::connect_failed);
+  s.run_to(100);
+  s.back(11, Outcome::connect_failed);
+  s.run_to(1400);
+}
+
 void overdue_undrawn() {  // one of three in, two overdue: the undrawn part comes before a second copy
   Story s(Story::op(0.5), 4, 2);
   s.nodes(4);
@@ -406,6 +417,7 @@
                                                     {"zones_shut", zones_shut},
                                                     {"second_step", second_step},
                                                     {"send_budget", send_budget},
+                                                    {"budget_late", budget_late},
                                                     {"overdue_undrawn", overdue_undrawn},
                                                     {"hang", hang},
                                                     {"given_up", given_up},
