--- a/tests/stand_ins/world.h
+++ b/tests/stand_ins/world.h
@@ -126,7 +126,7 @@
            STDERR_FILENO);
       if (!run.empty()) {
         setenv("CAIRNHUB_CONFINE", real, 1);
-        setenv("LD_PRELOAD", getenv("CAIRNHUB_CONFINE_LIB"), 1);
+        if (const char* filter = getenv("CAIRNHUB_CONFINE_LIB")) setenv("LD_PRELOAD", filter, 1);
         // Under AddressSanitizer: its look for leaks at the end clones a process, which the filter ends, so
         // the run would seem to fork; and it wants to be the first library, before the filter.
         setenv("ASAN_OPTIONS", "detect_leaks=0:verify_asan_link_order=0", 1);
