Lists: a spoilt one of brackets is refused before it takes memory; search hosts keep the window

At fault: Members::take reads whatever is valid JSON up to 4 MiB into a tree of many times that. Now values are counted first, without keeping any, 200,000 at most, and an answer is at most a thirty-second of the memory. Failed try: a parser callback that drops deep values and surplus entries; 400,000 empty objects took 22 s, as the library walks the parent at each dropped one.

--- a/src/broker/members.cpp
+++ b/src/broker/members.cpp
@@ -9,7 +9,44 @@
 
 namespace cairnhub::broker {
 
+namespace {
+
+// Values of one list, of ten or so to an entry: ten times what the largest deployments have.
+constexpr int kMostValues = 200000;
+
+// Counts the values of a JSON text without keeping any, and stops past the most.
+class ValueCounter : public nlohmann::json_sax<nlohmann::json> {
+ public:
+  bool null() override { return counted(); }
+  bool boolean(bool) override { return counted(); }
+  bool number_integer(number_integer_t) override { return counted(); }
+  bool number_unsigned(number_unsigned_t) override { return counted(); }
+  bool number_float(number_float_t, const string_t&) override { return counted(); }
+  bool string(string_t&) override { return counted(); }
+  bool binary(binary_t&) override { return counted(); }
+  bool start_object(std::size_t) override { return counted(); }
+  bool key(string_t&) override { return true; }
+  bool end_object() override { return true; }
+  bool start_array(std::size_t) override { return counted(); }
+  bool end_array() override { return true; }
+  bool parse_error(std::size_t, const std::string&, const nlohmann::json::exception&) override {
+    return false;
+  }
+  bool too_many() const { return count_ > kMostValues; }
+
+ private:
+  bool counted() { return ++count_ <= kMostValues; }
+  int count_ = 0;
+};
+
+}  // namespace
+
 const char* Members::take(std::string_view text) {
+  // Danger: a spoilt list of little more than brackets takes many times its length in memory once it is read,
+  // and the process is killed for it.
+  ValueCounter counter;
+  nlohmann::json::sax_parse(text, &counter);
+  if (counter.too_many()) return "more values than any list has";
   const auto json = nlohmann::json::parse(text, nullptr, false);
   if (!json.is_object()) return "not a JSON object";
   const auto revision = json.find("revision"), entries = json.find("members"),
--- a/src/broker/watch.cpp
+++ b/src/broker/watch.cpp
@@ -17,7 +17,6 @@
 constexpr Time kFirstRetry = 50 * kMs;
 // Of a call for changes that follows a failed one: a further silence is to be noticed soon.
 constexpr Time kWaitAfterFailure = 500 * kMs;
-constexpr std::size_t kLargestList = 4 << 20;
 constexpr const char* kRefused = "not a 200";
 
 }  // namespace
@@ -50,10 +49,11 @@
 }
 
 Watch::Watch(event_base* base, const std::string& discovery, WatchTiming timing, std::uint64_t seed,
-             Members& members, std::function<void(bool)> on_update)
+             std::size_t largest_list, Members& members, std::function<void(bool)> on_update)
     : base_(base),
       timing_(timing),
       random_(static_cast<std::mt19937::result_type>(seed)),
+      largest_list_(largest_list),
       members_(members),
       on_update_(std::move(on_update)),
       next_call_(base, [this] { call(); }),
@@ -102,7 +102,7 @@
   if (!connection_) {
     connection_ = evhttp_connection_base_bufferevent_new(base_, nullptr, nullptr, host_.c_str(), port_);
     if (!connection_) return next_call_.start(timing_.longest_retry);
-    evhttp_connection_set_max_body_size(connection_, kLargestList);
+    evhttp_connection_set_max_body_size(connection_, static_cast<ev_ssize_t>(largest_list_));
   }
   called_at_ = now();
   evhttp_request* request = evhttp_request_new(
--- a/src/broker/watch.h
+++ b/src/broker/watch.h
@@ -35,9 +35,10 @@
 
 class Watch {
  public:
-  // `on_update` is called after each call has ended; its argument tells whether the list was updated.
+  // `largest_list`: bytes of an answer. `on_update` is called after each call has ended; its argument tells
+  // whether the list was updated.
   Watch(event_base* base, const std::string& discovery, WatchTiming timing, std::uint64_t seed,
-        Members& members, std::function<void(bool)> on_update);
+        std::size_t largest_list, Members& members, std::function<void(bool)> on_update);
   ~Watch();
   void call();
   // Follows another address from now on, beginning with its whole list.
@@ -62,6 +63,7 @@
   bool whole_list_ = false;  // moved, or known to be behind, and nothing heard since
   LastCall last_call_ = LastCall::answered;
   std::mt19937 random_;
+  const std::size_t largest_list_;
   Members& members_;
   std::function<void(bool)> on_update_;
   evhttp_connection* connection_ = nullptr;
--- a/src/hosts/search/searcher.cpp
+++ b/src/hosts/search/searcher.cpp
@@ -151,7 +151,11 @@
     if (!link) return;  // danger: a node that hangs takes its own connections, and no more
     Way* way = n.waiting.front();
     n.waiting.pop_front();
-    begin(*way, *link);
+    // Danger: what may have run would be repeated after repeats are no longer dropped.
+    if (way->errand->begin_by < now())
+      finish(*way, {End::given_up, Reached::never_connected, {}});
+    else
+      begin(*way, *link);
   }
 }
 
--- a/src/server/broker.cpp
+++ b/src/server/broker.cpp
@@ -39,6 +39,8 @@
   return {static_cast<std::size_t>(frames.calls_a_connection), frames.connections, extras.search_body_most,
           frames.idle_at_most};
 }
+// Of the memory, what an answer of discovery may take as text; read, it takes several times that.
+constexpr std::size_t kLargestList = std::size_t{4} << 20, kListShare = 32;
 // Where the list must be subscribed to, each call loads a service that all brokers share.
 WatchTiming watch_timing(const settings::Settings& s) {
   return s.text("registry-mode", "automatic") == "subscribe" ? WatchTiming::polled() : WatchTiming::pushed();
@@ -96,7 +98,8 @@
                   hosts.node(id, e.id, e.address, e.state);
                 }),
         admit(c.settings, book, route),
-        watch(base, c.discovery, watch_timing(c.settings), c.seed, members,
+        watch(base, c.discovery, watch_timing(c.settings), c.seed,
+              std::min(kLargestList, c.memory / kListShare), members,
               [this](bool told) {
                 if (!told) decider.list_failed(now());
                 if (members.ready() > 0) take_in.can_serve();
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <map>
 #include <memory>
 #include <string>
@@ -120,6 +121,36 @@
   c.gets();
 }
 
+// The most memory that the program has held, in kB.
+long peak_memory(const World& w) {
+  std::ifstream status("/proc/" + std::to_string(w.pid) + "/status");
+  for (std::string line; std::getline(status, line);)
+    if (line.rfind("VmHWM:", 0) == 0) return std::atol(line.c_str() + 6);
+  give_up("no figure of the memory");
+}
+
+void watch_spoilt() {  // lists of little more than brackets: refused, and the memory stays within bounds
+  World w({.memory_mb = 48});
+  Node one(1);
+  w.ready();
+  const long before = peak_memory(w);
+  const std::string start = R"({"revision":9,"complete":true,"members":[)", nested(1000000, '[');
+  std::string objects, numbers;
+  for (int i = 0; i < 400000; ++i) objects += "{},", numbers += "0,";
+  for (const std::string& spoilt : {start + nested, start + objects + "{}]}", start + numbers + "0]}"}) {
+    w.asked();
+    w.tells(spoilt);
+    w.watch.reset();  // closed by the program
+  }
+  w.asked();
+  const long grown = peak_memory(w) - before;
+  std::printf("memory has grown by %s\n", grown < 40000 ? "less than 40 MB" : std::to_string(grown).c_str());
+  Client c;
+  c.asks("m1", "all", {0});
+  one.hits(one.reads(), "v");
+  c.gets();
+}
+
 // Calls that cost, with waits that differ. A refused one is repeated as it was; one that fell silent is given
 // up and followed by one that waits for a short time.
 void watch_polled() {
@@ -450,6 +481,7 @@
       {"watch_endless", watch_endless},
       {"watch_cut_off", watch_cut_off},
       {"watch_down", watch_down},
+      {"watch_spoilt", watch_spoilt},
       {"watch_polled", watch_polled},
       {"no_servers", no_servers},
       {"left_unread", left_unread},
