--- a/src/fronts/http/take_in.cpp
+++ b/src/fronts/http/take_in.cpp
@@ -33,9 +33,9 @@
 constexpr Time kWholeWithin = 2400 * kSecond / 1000;
 // While accepting pauses: how long one may say nothing after it connected.
 constexpr Time kSilentPaused = 250 * kSecond / 1000;
-constexpr Time kLookEvery = 50 * kSecond / 1000;
+constexpr Time kSweepEvery = 50 * kSecond / 1000;
 // A client that left is heard of within 0.1 s; one that wrote ahead of its time has to be looked at for that.
-constexpr Time kEarlyBytesLookEvery = 20 * kSecond / 1000;
+constexpr Time kEarlyBytesCheckEvery = 20 * kSecond / 1000;
 // While the process shuts down: how long a connection that said nothing may still say something, and how long
 // requests that follow each other without a gap are answered before their connection is closed all the same.
 constexpr Time kSilentClosing = 250 * kSecond / 1000, kPipelineClosing = kSecond;
@@ -83,47 +83,47 @@
 }  // namespace
 
 // A connection, from its acceptance on.
-struct TakeIn::Door {
+struct TakeIn::ClientState {
   TakeIn* home;
   evhttp_connection* connection;
-  event* end = nullptr;  // hears of the client's leaving while its multiget is in hand
-  evhttp_request* asked = nullptr;
+  event* end = nullptr;               // hears of the client's leaving while its multiget is in hand
+  evhttp_request* request = nullptr;  // in hand
   Waiting* waiting = nullptr;
   std::function<void()> leave = {};  // tells that the client has gone; none where nothing is in hand
-  bool has_asked = false;            // a whole request, at some time
+  bool has_requested = false;        // a whole request, at some time
   Time since = now();                // accepted, or last answered
   Time begun = 0;                    // first byte of a request that isn't whole yet; 0 = none
   bool early_bytes = false;          // came while a request is in hand, and wait at the socket
   ArrivalTimes arrivals = {};
 
-  ~Door();
+  ~ClientState();
   // Nothing asked, nothing begun, nothing left to write.
-  bool at_rest() const { return !asked && !begun && output_length(connection) == 0; }
-  static void came(evbuffer*, const evbuffer_cb_info* info, void* at) {
+  bool at_rest() const { return !request && !begun && output_length(connection) == 0; }
+  static void on_bytes(evbuffer*, const evbuffer_cb_info* info, void* at) {
     if (info->n_added == 0) return;
-    Door& door = *static_cast<Door*>(at);
-    door.arrivals.read(info->n_added, now());
-    if (door.begun == 0) door.begun = now();
+    ClientState& client = *static_cast<ClientState*>(at);
+    client.arrivals.read(info->n_added, now());
+    if (client.begun == 0) client.begun = now();
   }
 };
 
 // The reply that a request waits for.
 class TakeIn::Waiting : public Reply {
  public:
-  explicit Waiting(Door& door) : door_(&door) { door.waiting = this; }
+  explicit Waiting(ClientState& client) : client_(&client) { client.waiting = this; }
   ~Waiting() override {
-    if (door_ && door_->waiting == this) door_->waiting = nullptr;
+    if (client_ && client_->waiting == this) client_->waiting = nullptr;
   }
-  void left() { door_ = nullptr; }
+  void left() { client_ = nullptr; }
   void answer(int status, std::string_view come_back, std::string body, const char* type) override {
-    if (!door_) return;  // the client has left
-    Door& d = *door_;
-    evhttp_request* r = std::exchange(d.asked, nullptr);
-    d.leave = nullptr;
-    event_del(d.end);
-    d.early_bytes = false;
-    d.since = now();
-    d.begun = input_length(d.connection) > 0 ? d.since : 0;
+    if (!client_) return;  // the client has left
+    ClientState& client = *client_;
+    evhttp_request* r = std::exchange(client.request, nullptr);
+    client.leave = nullptr;
+    event_del(client.end);
+    client.early_bytes = false;
+    client.since = now();
+    client.begun = input_length(client.connection) > 0 ? client.since : 0;
     evkeyvalq* headers = evhttp_request_get_output_headers(r);
     evhttp_add_header(headers, "Content-Type",
                       type            ? type
@@ -131,20 +131,20 @@
                                       : "text/plain");
     if (!come_back.empty()) evhttp_add_header(headers, "Retry-After", std::string(come_back).c_str());
     // Danger: behind a request that can't be used there may be anything.
-    const bool last = d.home->answers_last(d) || (status >= 400 && status < 500);
+    const bool last = client.home->answers_last(client) || (status >= 400 && status < 500);
     if (last) evhttp_add_header(headers, "Connection", "close");
     evbuffer_add(evhttp_request_get_output_buffer(r), body.data(), body.size());
     evhttp_send_reply(r, status, nullptr, nullptr);
   }
 
  private:
-  Door* door_;
+  ClientState* client_;
 };
 
-TakeIn::Door::~Door() {
+TakeIn::ClientState::~ClientState() {
   if (waiting) waiting->left();
   if (end) event_free(end);
-  evbuffer_remove_cb(bufferevent_get_input(evhttp_connection_get_bufferevent(connection)), came, this);
+  evbuffer_remove_cb(bufferevent_get_input(evhttp_connection_get_bufferevent(connection)), on_bytes, this);
 }
 
 TakeIn::TakeIn(event_base* base, const std::string& listen, int pause_at, std::size_t most_idle, Admit& admit,
@@ -152,8 +152,8 @@
     : base_(base),
       pause_at_(pause_at),
       most_idle_(most_idle),
-      look_(base, [this] { look_after(); }),
-      early_bytes_look_(base, [this] { look_at_early_bytes(); }),
+      sweep_timer_(base, [this] { sweep(); }),
+      early_bytes_timer_(base, [this] { check_early_bytes(); }),
       accept_again_(base,
                     [this] {
                       if (!closed_ && !paused_) evconnlistener_enable(listener_);
@@ -176,7 +176,7 @@
       log("descriptors", "a connection can't be accepted: %s", evutil_socket_error_to_string(why));
     });
     evconnlistener_disable(l);
-    if (accepting_) accepting_->accept_again_.start(kLookEvery);
+    if (accepting_) accepting_->accept_again_.start(kSweepEvery);
   });
   evhttp_set_max_headers_size(http_, kLargestHeaders);
   evhttp_set_max_body_size(http_, kLargestBody);
@@ -190,8 +190,8 @@
           auto* t = static_cast<TakeIn*>(self);
           t->accepted();
           if (!bev) return;
-          if (t->fresh_.empty()) t->look_.start(0);
-          t->fresh_.push_back(bev);
+          if (t->just_accepted_.empty()) t->sweep_timer_.start(0);
+          t->just_accepted_.push_back(bev);
           bufferevent_incref(bev);
         });
         return bev;
@@ -207,9 +207,9 @@
 
 TakeIn::~TakeIn() {
   accepting_ = nullptr;
-  for (auto& [connection, door] : doors_) evhttp_connection_set_closecb(connection, nullptr, nullptr);
-  doors_.clear();
-  for (bufferevent* bev : fresh_) bufferevent_decref(bev);
+  for (auto& [connection, client] : clients_) evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  clients_.clear();
+  for (bufferevent* bev : just_accepted_) bufferevent_decref(bev);
   evhttp_free(http_);
 }
 
@@ -226,14 +226,14 @@
   }
 }
 
-TakeIn::Door& TakeIn::door_of(evhttp_connection* connection) {
-  auto& slot = doors_[connection];
+TakeIn::ClientState& TakeIn::client_of(evhttp_connection* connection) {
+  auto& slot = clients_[connection];
   if (slot) return *slot;
-  slot = std::make_unique<Door>(Door{this, connection});
+  slot = std::make_unique<ClientState>(ClientState{this, connection});
   evhttp_connection_set_closecb(
       connection,
       [](evhttp_connection* c, void* self) {
-        guarded("close", [&] { static_cast<TakeIn*>(self)->gone(c); });
+        guarded("close", [&] { static_cast<TakeIn*>(self)->on_closed(c); });
       },
       this);
   bufferevent* bev = evhttp_connection_get_bufferevent(connection);
@@ -242,7 +242,7 @@
   // Danger: the library's parser waits for the end of a chunk's length without bound. Reading stops here, and
   // the connection goes when its time for a whole request is up.
   bufferevent_setwatermark(bev, EV_READ, 0, kInputMost);
-  evbuffer_add_cb(bufferevent_get_input(bev), Door::came, slot.get());
+  evbuffer_add_cb(bufferevent_get_input(bev), ClientState::on_bytes, slot.get());
   if (const std::size_t already = input_length(connection); already > 0) {
     slot->begun = slot->since;
     slot->arrivals.read(already, slot->since);
@@ -250,77 +250,78 @@
   return *slot;
 }
 
-// Connections that were just accepted get their doors, and those that overstay are let go.
-void TakeIn::look_after() {
-  for (bufferevent* bev : std::exchange(fresh_, {})) {
+// Connections that were just accepted get their state, and those that overstay are let go.
+void TakeIn::sweep() {
+  for (bufferevent* bev : std::exchange(just_accepted_, {})) {
     // The library's own word with its callbacks is the connection; it is told of none before the first
     // request, and most that must be let go make none.
     void* connection = nullptr;
     bufferevent_getcb(bev, nullptr, nullptr, nullptr, &connection);
-    if (connection) door_of(static_cast<evhttp_connection*>(connection));
+    if (connection) client_of(static_cast<evhttp_connection*>(connection));
     bufferevent_decref(bev);
   }
   accepted();
-  let_go([this](const Door& door) { return overstays(door); });
+  close_where([this](const ClientState& client) { return overstays(client); });
   // Danger: clients that ask once and keep their connection. What lets them in before us counts the idle ones
   // too, and has none left for others long before our own descriptors run short. Harm: a client whose next
   // request crosses the close has to send it anew.
   std::vector<std::pair<Time, evhttp_connection*>> idle;
-  for (auto& [connection, door] : doors_)
-    if (door->has_asked && door->at_rest()) idle.emplace_back(door->since, connection);
+  for (auto& [connection, client] : clients_)
+    if (client->has_requested && client->at_rest()) idle.emplace_back(client->since, connection);
   if (idle.size() > most_idle_) {  // only now is it worth to look what the system holds unread
     std::erase_if(idle, [](const auto& i) { return unread(i.second) > 0; });
     const auto kept = idle.end() - static_cast<std::ptrdiff_t>(std::min(idle.size(), most_idle_));
     std::nth_element(idle.begin(), kept, idle.end());
-    for (auto at = idle.begin(); at != kept; ++at) evhttp_connection_free(at->second);  // ends in gone()
+    for (auto at = idle.begin(); at != kept; ++at) evhttp_connection_free(at->second);  // ends in on_closed()
   }
-  if (!doors_.empty() || paused_) look_.start(kLookEvery);
+  if (!clients_.empty() || paused_) sweep_timer_.start(kSweepEvery);
 }
 
 // Danger: clients that connect and say nothing, or half of something, use up the descriptors.
-bool TakeIn::overstays(const Door& door) const {
-  if (door.asked || output_length(door.connection) > 0) return false;
+bool TakeIn::overstays(const ClientState& client) const {
+  if (client.request || output_length(client.connection) > 0) return false;
   const Time at = now();
-  if (closed_ && !door.begun && (door.has_asked || at - door.since > kSilentClosing)) return true;
-  if (!door.has_asked) return at - door.since > (paused_ && !door.begun ? kSilentPaused : kWholeWithin);
-  return door.begun && at - door.begun > kWholeWithin;
+  if (closed_ && !client.begun && (client.has_requested || at - client.since > kSilentClosing)) return true;
+  if (!client.has_requested)
+    return at - client.since > (paused_ && !client.begun ? kSilentPaused : kWholeWithin);
+  return client.begun && at - client.begun > kWholeWithin;
 }
 
 // Says why a connection is closed to a client that has begun to ask. Danger: it would take the close for a
 // broker that died with its request. Nothing waits to be written before it, and what the system doesn't take
 // at once is not tried again.
-void TakeIn::refuse_unfinished(const Door& door) {
+void TakeIn::refuse_unfinished(const ClientState& client) {
   constexpr std::string_view kTooSlow =
       "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\nContent-Length: 51\r\nConnection: "
       "close\r\n\r\n"
       "the request came too slowly; nothing of it was used";
-  if (!door.begun) return;
-  const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(door.connection));
+  if (!client.begun) return;
+  const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(client.connection));
   if (send(fd, kTooSlow.data(), kTooSlow.size(), MSG_DONTWAIT | MSG_NOSIGNAL) < 0)
     log("clients", "one that wrote too slowly can't be told so: %s", std::strerror(errno));
 }
 
 template <class F>
-void TakeIn::let_go(F which) {
+void TakeIn::close_where(F which) {
   std::vector<evhttp_connection*> over;
-  for (auto& [connection, door] : doors_)
-    if (which(*door) && !about_to_read(connection)) over.push_back(connection);
+  for (auto& [connection, client] : clients_)
+    if (which(*client) && !about_to_read(connection)) over.push_back(connection);
   for (evhttp_connection* c : over) {
-    refuse_unfinished(*doors_.at(c));
-    evhttp_connection_free(c);  // ends in gone()
+    refuse_unfinished(*clients_.at(c));
+    evhttp_connection_free(c);  // ends in on_closed()
   }
 }
 
 void TakeIn::request(evhttp_request* r) {
-  Door& door = door_of(evhttp_request_get_connection(r));
-  door.asked = r;
-  door.has_asked = true, door.begun = 0;
+  ClientState& client = client_of(evhttp_request_get_connection(r));
+  client.request = r;
+  client.has_requested = true, client.begun = 0;
   const Time at = now();
-  const Time waited = at - door.arrivals.last_taken(input_length(door.connection), at);
-  hear_of_end(door);
+  const Time waited = at - client.arrivals.last_taken(input_length(client.connection), at);
+  watch_for_departure(client);
   // Danger: nothing may be sent on for a client that has gone. The event of its end, just asked for, closes.
-  if (client_left(bufferevent_getfd(evhttp_connection_get_bufferevent(door.connection)))) return;
-  std::unique_ptr<Reply> reply = std::make_unique<Waiting>(door);
+  if (client_left(bufferevent_getfd(evhttp_connection_get_bufferevent(client.connection)))) return;
+  std::unique_ptr<Reply> reply = std::make_unique<Waiting>(client);
   if (const char* wrong = framing(r)) return reply->answer(400, "", std::string(wrong) + "\n");
   const char* stated = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(r));
   const std::string_view path = stated ? stated : "";
@@ -358,56 +359,56 @@
     const RequestId id = admit_.take(asked, std::move(reply));
     leave = [this, id] { route_.abandoned(id); };
   }
-  if (door.asked) door.leave = std::move(leave);  // else answered already
+  if (client.request) client.leave = std::move(leave);  // else answered already
 }
 
 // evhttp doesn't read while a request is being handled, and so doesn't hear of a client that leaves.
-void TakeIn::hear_of_end(Door& door) {
-  const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(door.connection));
-  if (!door.end)
-    door.end = event_new(
+void TakeIn::watch_for_departure(ClientState& client) {
+  const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(client.connection));
+  if (!client.end)
+    client.end = event_new(
         base_, fd, EV_READ | EV_CLOSED | EV_PERSIST,
         [](evutil_socket_t fd, short, void* at) {
           guarded("client", [&] {
-            Door& d = *static_cast<Door*>(at);
+            ClientState& c = *static_cast<ClientState*>(at);
             char byte;
             const ssize_t got = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
             if (got < 0 && (errno == EAGAIN || errno == EINTR)) return;
-            if (got > 0 && !client_left(fd)) return d.home->keep_early_bytes(d);
-            evhttp_connection_free(d.connection);  // ends in gone()
+            if (got > 0 && !client_left(fd)) return c.home->keep_early_bytes(c);
+            evhttp_connection_free(c.connection);  // ends in on_closed()
           });
         },
-        &door);
-  event_add(door.end, nullptr);
+        &client);
+  event_add(client.end, nullptr);
 }
 
 // Bytes ahead of their time wait until the answer is out: the parser reads one request at a time, and an
 // event for them would come again and again. Danger: behind them the client's leaving isn't heard.
-void TakeIn::keep_early_bytes(Door& door) {
-  event_del(door.end);
-  door.early_bytes = true;
-  door.arrivals.seen_unread(now());
-  if (!early_bytes_look_.pending()) early_bytes_look_.start(kEarlyBytesLookEvery);
+void TakeIn::keep_early_bytes(ClientState& client) {
+  event_del(client.end);
+  client.early_bytes = true;
+  client.arrivals.seen_unread(now());
+  if (!early_bytes_timer_.pending()) early_bytes_timer_.start(kEarlyBytesCheckEvery);
 }
 
-void TakeIn::look_at_early_bytes() {
+void TakeIn::check_early_bytes() {
   std::vector<evhttp_connection*> left;
   bool any = false;
-  for (auto& [connection, door] : doors_) {
-    if (!door->early_bytes) continue;
+  for (auto& [connection, client] : clients_) {
+    if (!client->early_bytes) continue;
     any = true;
     if (client_left(bufferevent_getfd(evhttp_connection_get_bufferevent(connection))))
       left.push_back(connection);
   }
-  if (any) early_bytes_look_.start(kEarlyBytesLookEvery);
-  for (evhttp_connection* c : left) evhttp_connection_free(c);  // ends in gone()
+  if (any) early_bytes_timer_.start(kEarlyBytesCheckEvery);
+  for (evhttp_connection* c : left) evhttp_connection_free(c);  // ends in on_closed()
 }
 
-void TakeIn::gone(evhttp_connection* connection) {
-  const auto it = doors_.find(connection);
-  if (it == doors_.end()) return;
+void TakeIn::on_closed(evhttp_connection* connection) {
+  const auto it = clients_.find(connection);
+  if (it == clients_.end()) return;
   const auto leave = std::move(it->second->leave);
-  doors_.erase(it);
+  clients_.erase(it);
   if (leave) leave();
 }
 
@@ -415,10 +416,10 @@
 
 // Danger: a request that was read, or whose bytes wait at the socket, behind the one now answered would go
 // with the connection. It is answered first, within bounds.
-bool TakeIn::answers_last(const Door& door) const {
+bool TakeIn::answers_last(const ClientState& client) const {
   if (!last_answers_) return false;
   if (closed_ && now() - closed_at_ > kPipelineClosing) return true;
-  return input_length(door.connection) == 0 && unread(door.connection) == 0;
+  return input_length(client.connection) == 0 && unread(client.connection) == 0;
 }
 
 bool TakeIn::has_backlog() const {
@@ -427,13 +428,13 @@
   return poll(&state, 1, 0) > 0;
 }
 
-void TakeIn::close_door() {
+void TakeIn::stop_accepting() {
   closed_ = true;
   closed_at_ = now();
   evconnlistener_disable(listener_);
   // Danger: the system would go on accepting into its queue, and what asks there would never be answered.
   shutdown(evconnlistener_get_fd(listener_), SHUT_RD);
-  let_go([](const Door& door) { return door.at_rest(); });
+  close_where([](const ClientState& client) { return client.at_rest(); });
 }
 
 }  // namespace cairnhub::broker
--- a/src/fronts/http/take_in.h
+++ b/src/fronts/http/take_in.h
@@ -45,25 +45,25 @@
   void last_answers();  // from now on each answer ends its connection
   // Connections wait to be accepted, and can be in the next turn of the loop.
   bool has_backlog() const;
-  void close_door();  // accepts no more and lets idle connections go; what is read from now on is refused
-  bool quiet() const { return doors_.empty() && fresh_.empty(); }  // every answer is written
+  void stop_accepting();  // accepts no more and lets idle connections go; what is read from now on is refused
+  bool quiet() const { return clients_.empty() && just_accepted_.empty(); }  // every answer is written
 
  private:
   class Waiting;
-  struct Door;
-  Door& door_of(evhttp_connection* connection);
+  struct ClientState;
+  ClientState& client_of(evhttp_connection* connection);
   void request(evhttp_request* r);
-  void hear_of_end(Door& door);
-  void gone(evhttp_connection* connection);
+  void watch_for_departure(ClientState& client);
+  void on_closed(evhttp_connection* connection);
   void accepted();
-  void look_after();
-  bool overstays(const Door& door) const;
-  static void refuse_unfinished(const Door& door);
-  bool answers_last(const Door& door) const;
-  void keep_early_bytes(Door& door);
-  void look_at_early_bytes();
+  void sweep();
+  bool overstays(const ClientState& client) const;
+  static void refuse_unfinished(const ClientState& client);
+  bool answers_last(const ClientState& client) const;
+  void keep_early_bytes(ClientState& client);
+  void check_early_bytes();
   template <class F>
-  void let_go(F which);
+  void close_where(F which);
 
   static inline TakeIn* accepting_ = nullptr;
   event_base* base_;
@@ -71,14 +71,15 @@
   evconnlistener* listener_ = nullptr;
   int pause_at_;
   std::size_t most_idle_;
-  Timer look_;
-  Timer early_bytes_look_;  // at clients that wrote ahead: whether they have left
+  Timer sweep_timer_;
+  Timer early_bytes_timer_;  // at clients that wrote ahead: whether they have left
   Timer accept_again_;
   Admit& admit_;
   Route& route_;
   std::vector<Front*> fronts_;
-  std::vector<bufferevent*> fresh_;  // accepted in this turn of the loop; held until they get their doors
-  std::map<evhttp_connection*, std::unique_ptr<Door>> doors_;
+  std::vector<bufferevent*>
+      just_accepted_;  // accepted in this turn of the loop; held until they get their state
+  std::map<evhttp_connection*, std::unique_ptr<ClientState>> clients_;
   Time closed_at_ = 0;
   bool paused_ = false, last_answers_ = false, closed_ = false, ready_ = true, can_serve_ = false;
 };
--- a/src/server/broker.cpp
+++ b/src/server/broker.cpp
@@ -182,7 +182,7 @@
   // listener.
   void close() {
     if (!door_closed && take_in.has_backlog() && backlog_turns++ < kBacklogTurns) return closing.start(0);
-    if (!std::exchange(door_closed, true)) take_in.close_door();
+    if (!std::exchange(door_closed, true)) take_in.stop_accepting();
     if (book.held() > 0 || !take_in.quiet()) return closing.start(kLookAgain);
     done();
   }
