Watch: a call after a failed one waits for changes, as a returning agent answers only those

The brokers' logs: "silent for too long" 330 times in each second from 3 to 11 s in all 300 brokers (discovery is down there), the list of 10.71 s taken up to 0.7 s late. At fault: after a silence the whole list was asked for, a call that doesn't wait; made while discovery was down it wasn't answered at its return, and had to be given up first. Now a call after a failed one asks for changes with 1.4 s to wait, is given up 0.15 s past that, and the next follows after 0.05 s: at most 0.2 s in 1.6 without a waiting call. Of two failures in a row a change is still acted on within 6 s (four before).

--- a/src/broker/watch.cpp
+++ b/src/broker/watch.cpp
@@ -15,23 +15,24 @@
 constexpr Time kMs = kSecond / 1000;
 // A watch goes on where the next call comes within 200 ms: the first retry keeps to that.
 constexpr Time kFirstRetry = 50 * kMs;
-// Of a call for changes that follows a failed one: a further silence is to be noticed soon.
-constexpr Time kWaitAfterFailure = 500 * kMs;
 constexpr const char* kRefused = "not a 200";
 
 }  // namespace
 
 // A change has to be acted on within 6 s of discovery having it, whatever becomes of calls in between. One
-// silent call takes 2.1 s to be noticed and each further one, for the whole list, 0.7 s: four calls in a row
-// may fail before that time is up. What the agent has when discovery returns counts at once, and drains must
-// be kept within a quarter of a second or so: no longer wait than that lies between two calls.
+// silent call takes 2.1 s to be noticed and each further one 1.6 s: two calls in a row may fail before that
+// time is up. What the agent has when discovery returns counts at once, and drains must be kept within a
+// quarter of a second or so. Danger: an agent that was silent answers at its return the calls that still
+// wait, and no others; so a call that follows a failed one waits nearly all of its time, and the next comes
+// at once.
 WatchTiming WatchTiming::pushed() {
   return {.shortest_wait = 1400 * kMs,
           .longest_wait = 1400 * kMs,
           .answer_within = 700 * kMs,
-          .answer_within_after_failure = 700 * kMs,
-          .longest_retry = 150 * kMs,
-          .whole_list_after_failure = true};
+          .wait_after_failure = 1400 * kMs,
+          .answer_within_after_failure = 150 * kMs,
+          .whole_list_within = 700 * kMs,
+          .longest_retry = 50 * kMs};
 }
 
 // What a silent call misses counts as told 6 s after it fell silent, or 2 s after its wait, if that is later:
@@ -44,9 +45,10 @@
   return {.shortest_wait = 3000 * kMs,
           .longest_wait = 5000 * kMs,
           .answer_within = 1000 * kMs,
+          .wait_after_failure = 500 * kMs,
           .answer_within_after_failure = 2000 * kMs,
-          .longest_retry = 1000 * kMs,
-          .whole_list_after_failure = false};
+          .whole_list_within = 2000 * kMs,
+          .longest_retry = 1000 * kMs};
 }
 
 Watch::Watch(event_base* base, const std::string& discovery, WatchTiming timing, std::uint64_t seed,
@@ -115,15 +117,16 @@
                     (host_ + ":" + std::to_string(port_)).c_str());
   std::string path = "/catalog/members";
   const bool failed = last_call_ == LastCall::failed;
-  const bool whole_list = !members_.held() || whole_list_ || (failed && timing_.whole_list_after_failure);
+  const bool whole_list = !members_.held() || whole_list_;
   std::uniform_int_distribution<Time> drawn(timing_.shortest_wait / kMs, timing_.longest_wait / kMs);
-  const Time wait = whole_list ? 0 : failed ? kWaitAfterFailure : drawn(random_) * kMs;
+  const Time wait = failed ? timing_.wait_after_failure : drawn(random_) * kMs;
   if (!whole_list)
     path += "?since=" + std::to_string(members_.revision()) + "&timeout_ms=" + std::to_string(wait / kMs);
   // Danger: the library's own time-outs begin anew with each byte, so that an answer without end would never
   // end.
-  const bool first = last_call_ == LastCall::answered && !whole_list;
-  deadline_.start(wait + (first ? timing_.answer_within : timing_.answer_within_after_failure));
+  deadline_.start(whole_list ? timing_.whole_list_within
+                  : failed   ? wait + timing_.answer_within_after_failure
+                             : wait + timing_.answer_within);
   // A request that can't be made is gone with the failure.
   if (evhttp_make_request(connection_, request, EVHTTP_REQ_GET, path.c_str()) != 0)
     on_failure("can't be called");
--- a/src/broker/watch.h
+++ b/src/broker/watch.h
@@ -21,10 +21,11 @@
 struct WatchTiming {
   // A call for changes asks to be answered after so long at the latest; drawn anew each time.
   Time shortest_wait, longest_wait;
-  Time answer_within;                // beyond that wait
-  Time answer_within_after_failure;  // likewise, of the call that follows one that failed
-  Time longest_retry;                // between failed calls
-  bool whole_list_after_failure;     // else the changes since the list in hand, with a short wait
+  Time answer_within;  // beyond that wait
+  // Likewise of a call that follows a failed one.
+  Time wait_after_failure, answer_within_after_failure;
+  Time whole_list_within;  // of a call for the whole list, which doesn't wait
+  Time longest_retry;      // between failed calls
 
   // Calls cost nothing and are answered at once.
   static WatchTiming pushed();
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -91,6 +91,21 @@
   w.asked();
 }
 
+// Discovery is down, and answers at its return the call that still waits: it was made after a silent one, and
+// not given up for longer than discovery was away.
+void watch_returns() {
+  World w({.cells = 2, .replicas = 2});
+  w.ready();
+  w.asked();
+  w.asked();  // ends with the connection
+  w.asked();
+  pass(1000);
+  const std::string changed = w.list(2, false, "terminating", 1);
+  w.watch->write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(changed.size()) + "\r\n\r\n" +
+                 changed);
+  w.asked();
+}
+
 void watch_cut_off() {  // an answer without a length is broken off by a reset: a reset is no end of a body
   World w({.cells = 2, .replicas = 2});
   w.ready();
@@ -532,6 +547,7 @@
   const std::map<std::string, Scenario> scenarios = {
       {"watch_silent", watch_silent},
       {"watch_endless", watch_endless},
+      {"watch_returns", watch_returns},
       {"watch_cut_off", watch_cut_off},
       {"watch_down", watch_down},
       {"unfinished", unfinished},
