One look at sockets for hosts and clients, ordinary lists read once; behaviour unchanged

Every list was parsed twice since its values are counted; one of 200,000 bytes or less can't hold more than 200,000, and is read once. The 503 for slow writers counts its own length.

--- a/src/broker/members.cpp
+++ b/src/broker/members.cpp
@@ -39,14 +39,19 @@
   int count_ = 0;
 };
 
+// Danger: a spoilt list of little more than brackets takes many times its length in memory once it is read,
+// and the process is killed for it. A value takes a byte at least, so that an ordinary list is read once.
+bool too_many_values(std::string_view text) {
+  if (text.size() <= kMostValues) return false;
+  ValueCounter counter;
+  nlohmann::json::sax_parse(text, &counter);
+  return counter.too_many();
+}
+
 }  // namespace
 
 const char* Members::take(std::string_view text) {
-  // Danger: a spoilt list of little more than brackets takes many times its length in memory once it is read,
-  // and the process is killed for it.
-  ValueCounter counter;
-  nlohmann::json::sax_parse(text, &counter);
-  if (counter.too_many()) return "more values than any list has";
+  if (too_many_values(text)) return "more values than any list has";
   const auto json = nlohmann::json::parse(text, nullptr, false);
   if (!json.is_object()) return "not a JSON object";
   const auto revision = json.find("revision"), entries = json.find("members"),
--- a/src/broker/watch.h
+++ b/src/broker/watch.h
@@ -1,6 +1,6 @@
 // Service discovery watch: keeps the member list current with one HTTP call after another, each of which
 // waits for changes newer than the list in hand. A call that fails, or is silent for too long, is followed by
-// one for the whole list on a new connection.
+// another on a new connection.
 #pragma once
 #include <event2/event.h>
 
--- a/src/fronts/http/take_in.cpp
+++ b/src/fronts/http/take_in.cpp
@@ -7,7 +7,6 @@
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -18,6 +17,7 @@
 #include <stdexcept>
 
 #include "base/clock.h"
+#include "base/sockets.h"
 #include "fronts/http/arrival_times.h"
 
 namespace cairnhub::broker {
@@ -40,6 +40,7 @@
 // requests that follow each other without a gap are answered before their connection is closed all the same.
 constexpr Time kSilentClosing = 250 * kSecond / 1000, kPipelineClosing = kSecond;
 
+int socket_of(evhttp_connection* c) { return bufferevent_getfd(evhttp_connection_get_bufferevent(c)); }
 std::size_t input_length(evhttp_connection* c) {
   return evbuffer_get_length(bufferevent_get_input(evhttp_connection_get_bufferevent(c)));
 }
@@ -48,18 +49,12 @@
 }
 int unread(evhttp_connection* c) {
   int bytes = 0;
-  ioctl(bufferevent_getfd(evhttp_connection_get_bufferevent(c)), FIONREAD, &bytes);
+  ioctl(socket_of(c), FIONREAD, &bytes);
   return bytes;
 }
 // Bytes wait at the socket that the next turn of the loop reads. Danger: closed over them, the connection is
 // reset, and the request they end is lost.
 bool about_to_read(evhttp_connection* c) { return unread(c) > 0 && input_length(c) < kInputMost; }
-// The client has closed its side, whatever it wrote before.
-bool client_left(int fd) {
-  pollfd state{fd, POLLRDHUP, 0};
-  return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
-}
-
 // What is wrong with the way a request says where it ends, or null. Danger: another request hidden in the
 // body of one that two readers would end at different places.
 const char* framing(evhttp_request* r) {
@@ -326,13 +321,14 @@
 // broker that died with its request. Nothing waits to be written before it, and what the system doesn't take
 // at once is not tried again.
 void TakeIn::refuse_unfinished(const ClientState& client) {
-  constexpr std::string_view kTooSlow =
-      "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\nContent-Length: 51\r\nConnection: "
-      "close\r\n\r\n"
-      "the request came too slowly; nothing of it was used";
   if (!client.begun) return;
-  const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(client.connection));
-  if (send(fd, kTooSlow.data(), kTooSlow.size(), MSG_DONTWAIT | MSG_NOSIGNAL) < 0)
+  const std::string body = "the request came too slowly; nothing of it was used";
+  const std::string answer =
+      "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\nConnection: "
+      "close\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body;
+  const int fd = socket_of(client.connection);
+  if (send(fd, answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL) < 0)
     log("clients", "one that wrote too slowly can't be told so: %s", std::strerror(errno));
 }
 
@@ -356,7 +352,7 @@
   const Time waited = at - client.arrivals.last_taken(input_length(client.connection), at);
   watch_for_departure(client);
   // Danger: nothing may be sent on for a client that has gone. The event of its end, just asked for, closes.
-  if (client_left(bufferevent_getfd(evhttp_connection_get_bufferevent(client.connection)))) return;
+  if (peer_closed(socket_of(client.connection))) return;
   std::unique_ptr<Reply> reply = std::make_unique<Waiting>(client);
   if (const char* wrong = framing(r)) return reply->answer(400, "", std::string(wrong) + "\n");
   const char* stated = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(r));
@@ -400,7 +396,7 @@
 
 // evhttp doesn't read while a request is being handled, and so doesn't hear of a client that leaves.
 void TakeIn::watch_for_departure(ClientState& client) {
-  const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(client.connection));
+  const int fd = socket_of(client.connection);
   if (!client.end)
     client.end = event_new(
         base_, fd, EV_READ | EV_CLOSED | EV_PERSIST,
@@ -410,7 +406,7 @@
             char byte;
             const ssize_t got = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
             if (got < 0 && (errno == EAGAIN || errno == EINTR)) return;
-            if (got > 0 && !client_left(fd)) return c.home->keep_early_bytes(c);
+            if (got > 0 && !peer_closed(fd)) return c.home->keep_early_bytes(c);
             evhttp_connection_free(c.connection);  // ends in on_closed()
           });
         },
@@ -433,8 +429,7 @@
   for (auto& [connection, client] : clients_) {
     if (!client->early_bytes) continue;
     any = true;
-    if (client_left(bufferevent_getfd(evhttp_connection_get_bufferevent(connection))))
-      left.push_back(connection);
+    if (peer_closed(socket_of(connection))) left.push_back(connection);
   }
   if (any) early_bytes_timer_.start(kEarlyBytesCheckEvery);
   for (evhttp_connection* c : left) evhttp_connection_free(c);  // ends in on_closed()
@@ -460,8 +455,7 @@
 
 bool TakeIn::has_backlog() const {
   if (paused_ || closed_) return false;
-  pollfd state{evconnlistener_get_fd(listener_), POLLIN, 0};
-  return poll(&state, 1, 0) > 0;
+  return ready_events(evconnlistener_get_fd(listener_), POLLIN) != 0;
 }
 
 void TakeIn::stop_accepting() {
--- a/src/fronts/http/take_in.h
+++ b/src/fronts/http/take_in.h
@@ -76,7 +76,7 @@
   std::size_t most_idle_, unfinished_most_;
   std::size_t unfinished_ = 0;  // bytes of unfinished requests
   Timer sweep_timer_;
-  Timer early_bytes_timer_;  // at clients that wrote ahead: whether they have left
+  Timer early_bytes_timer_;  // for clients that wrote ahead: whether they have left
   Timer accept_again_;
   Admit& admit_;
   Route& route_;
--- a/src/fronts/two_phase/front.cpp
+++ b/src/fronts/two_phase/front.cpp
@@ -1,7 +1,6 @@
 #include "fronts/two_phase/front.h"
 
 #include <cmath>
-#include <cstring>
 #include <nlohmann/json.hpp>
 
 #include "fronts/platform/relay.h"
--- a/src/hosts/frames/sender.cpp
+++ b/src/hosts/frames/sender.cpp
@@ -3,7 +3,6 @@
 #include <event2/buffer.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <poll.h>
 
 #include <algorithm>
 #include <deque>
@@ -12,6 +11,7 @@
 #include <utility>
 
 #include "base/clock.h"
+#include "base/sockets.h"
 #include "hosts/frames/frame.h"
 
 namespace cairnhub::broker {
@@ -99,9 +99,8 @@
     if (!up) return true;
     const bool awaits_bytes = calls() > 0 || !given_up.empty();
     if (!awaits_bytes && evbuffer_get_length(bufferevent_get_input(bev)) > 0) return false;
-    pollfd state{bufferevent_getfd(bev), POLLIN | POLLRDHUP, 0};
-    if (poll(&state, 1, 0) <= 0) return true;
-    return (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0 && awaits_bytes;
+    const short ready = ready_events(bufferevent_getfd(bev), POLLIN | POLLRDHUP);
+    return (ready & kPeerClosed) == 0 && (awaits_bytes || (ready & POLLIN) == 0);
   }
   std::uint64_t written() const { return handed - evbuffer_get_length(bufferevent_get_output(bev)); }
 };
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -40,28 +40,19 @@
 
 void pass(int ms) { poll(nullptr, 0, ms); }
 
-// Keeps a node's connections from coming up, until it is emptied.
-struct FullBacklog {
-  std::vector<Peer> fill;
-  explicit FullBacklog(const Node& n) {
-    for (int i = 0; i < 2; ++i) {
-      fill.emplace_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-      const sockaddr_in at = address(kNode + n.number);
-      // In progress, or it will never be: that it doesn't come up is what it is for.
-      static_cast<void>(connect(fill.back().fd, reinterpret_cast<const sockaddr*>(&at), sizeof at));
-    }
-  }
-  // The next attempt to connect, at the system's pace, comes up.
-  void empty(Node& n) {
-    for (Peer& p : fill) p.reset();
-    while (readable(n.door->fd, 0)) Peer(n.door->accept());
+// Three requests for shard 0 all go to this node.
+void serves_all(Node& node) {
+  Client c;
+  for (const char* name : {"m1", "m2", "m3"}) {
+    c.asks(name, "all", {0});
+    node.hits(node.reads(), "v");
+    c.gets();
   }
-};
+}
 
 // ---- The discovery watch ----
 
-void watch_silent() {  // a watch says nothing: the whole list is asked for on a new connection; what it
-                       // misses is gone
+void watch_silent() {  // a watch says nothing: another call on a new connection is told what it missed
   World w({.cells = 2, .replicas = 2});
   Node one(1), two(2);
   w.ready();
@@ -70,12 +61,7 @@
   w.asked();
   w.tells(w.list(4, true, "in_service", 2));
   w.asked();
-  Client c;
-  for (const char* name : {"m1", "m2", "m3"}) {
-    c.asks(name, "all", {0});
-    two.hits(two.reads(), "v");
-    c.gets();
-  }
+  serves_all(two);
 }
 
 void watch_endless() {  // an answer comes byte by byte and never ends: it is given up like a silent one
@@ -118,19 +104,19 @@
   w.asked();
 }
 
-void watch_down() {  // refused, then silent, then spoilt: each failure is followed by a call for the whole
-                     // list
-  auto w = std::make_unique<World>(Setup{.cells = 2, .replicas = 2});
-  Node two(2);
-  w->ready();
-  w->asked();
-  w->watch->reset();
-  w->watch.reset();
-  w->asked();
-  w->tells("{\"revision\":9,\"complete\":true,\"members\":[{\"id\":\"s-1\",\"phase\":\"in_serv");
-  w->asked();
-  w->tells("\n{\n  \"revision\" : 5,\n  \"complete\" : true,\n  \"members\" : [ ]\n}\n");
-  w->asked();
+// A call is reset, the next one's answer spoilt: each is followed by another on a new connection; an indented
+// list is one.
+void watch_down() {
+  World w({.cells = 2, .replicas = 2});
+  w.ready();
+  w.asked();
+  w.watch->reset();
+  w.watch.reset();
+  w.asked();
+  w.tells("{\"revision\":9,\"complete\":true,\"members\":[{\"id\":\"s-1\",\"phase\":\"in_serv");
+  w.asked();
+  w.tells("\n{\n  \"revision\" : 5,\n  \"complete\" : true,\n  \"members\" : [ ]\n}\n");
+  w.asked();
   Client c;
   c.asks("m1", "all", {0});
   c.gets();
@@ -211,12 +197,7 @@
   w.asked();
   w.tells(w.list(3, true, "in_service", 2));
   w.asked();
-  Client c;
-  for (const char* name : {"m1", "m2", "m3"}) {
-    c.asks(name, "all", {0});
-    two.hits(two.reads(), "v");
-    c.gets();
-  }
+  serves_all(two);
 }
 
 // Calls that cost, with waits that differ. A refused one is repeated as it was; one that fell silent is given
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -159,18 +159,6 @@
   c.gets();
 }
 
-// Fills a node's queue of connections, so that a further one never comes up.
-struct Filled {
-  std::vector<Peer> fill;
-  explicit Filled(const Node& n) {
-    for (int i = 0; i < 2; ++i) {
-      fill.emplace_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-      const sockaddr_in at = address(kNode + n.number);
-      connect(fill.back().fd, reinterpret_cast<const sockaddr*>(&at), sizeof at);
-    }
-  }
-};
-
 void silent() {  // a node that never answers, and one that never lets a connection come up
   {
     World w({.cells = 2, .replicas = 2, .budget = "0.4"});
@@ -186,7 +174,7 @@
   }
   World w(Setup{});
   Node one(1, 0);
-  const Filled filled(one);
+  const FullBacklog full(one);
   w.ready();
   Client c;
   c.asks("m2", "once", {0}, "1");
@@ -196,7 +184,7 @@
 void drain() {  // rule 3: what waits for its connection when its node drains is withdrawn, and goes elsewhere
   World w({.cells = 2, .replicas = 2, .connect_within = "60"});
   Node one(1), two(2, 0);
-  const Filled filled(two);
+  const FullBacklog full(two);
   w.ready();
   Client c;
   c.asks("m1", "once", {0});  // with this seed the tie falls to node 2
--- a/tests/stand_ins/node.h
+++ b/tests/stand_ins/node.h
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "stand_ins/net.h"
 
@@ -47,4 +48,22 @@
   }
 };
 
+// Fills a node's queue of connections, so that a further one doesn't come up until it is emptied.
+struct FullBacklog {
+  std::vector<Peer> fill;
+  explicit FullBacklog(const Node& n) {
+    for (int i = 0; i < 2; ++i) {
+      fill.emplace_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+      const sockaddr_in at = address(kNode + n.number);
+      // In progress, or it will never be: that it doesn't come up is what it is for.
+      static_cast<void>(connect(fill.back().fd, reinterpret_cast<const sockaddr*>(&at), sizeof at));
+    }
+  }
+  // The next attempt to connect, at the system's pace, comes up.
+  void empty(Node& n) {
+    for (Peer& p : fill) p.reset();
+    while (readable(n.door->fd, 0)) Peer(n.door->accept());
+  }
+};
+
 }  // namespace cairnhub::stand_ins
