Liars' differential: only a search with a silent host runs out of its time

The test gave each of its 100 searches 100 ms, and wants more than ten answered whole.

Seen: alone 35 to 44 of 100 are whole, in the plain and the sanitized build. With the machine four times overloaded the sanitized program answers 8 to 25 whole and pushes 40 to 81 back, as hosts take longer than 100 ms.

Now only a search with a host that doesn't answer is given 100 ms; others have the index's 1500 ms. The test wants more than 20 whole where it wanted more than ten; nothing wrong is allowed, as before.

--- a/tests/search.cpp
+++ b/tests/search.cpp
@@ -296,8 +296,14 @@
                                          "500"};
   for (int i = 0; i < 100; ++i) {
     const json s = maker.search();
-    for (int h = 1; h <= 4; ++h) hosts[h].lies(lies[maker.below(static_cast<std::uint32_t>(lies.size()))]);
-    t.asks("/register/_search?timeout=100ms", s.dump());
+    bool silent = false;  // a host that doesn't answer: the search lasts as long as it may
+    for (int h = 1; h <= 4; ++h) {
+      const std::string& lie = lies[maker.below(static_cast<std::uint32_t>(lies.size()))];
+      silent = silent || lie == "omit";
+      hosts[h].lies(lie);
+    }
+    // On a busy machine an honest host may take longer than a search is given that has to run out.
+    t.asks(std::string("/register/_search?timeout=") + (silent ? "100ms" : "1500ms"), s.dump());
     if (t.status != 200)
       ++refused;
     else if (t.body["_shards"]["failed"] == 0)
@@ -306,7 +312,7 @@
       ++(t.body["hits"]["total"]["relation"] == "gte" && !t.body["_shards"]["failures"].empty() ? said
                                                                                                 : wrong);
   }
-  std::printf("wrong: %d; whole ones: %s, ones that say so: %s\n", wrong, whole > 10 ? "many" : "few",
+  std::printf("wrong: %d; whole ones: %s, ones that say so: %s\n", wrong, whole > 20 ? "many" : "few",
               said + refused > 10 ? "many" : "few");
 }
 
