--- a/src/base/sockets.h
+++ b/src/base/sockets.h
@@ -1,6 +1,11 @@
-// What a socket is ready for, asked without waiting.
+// What the system knows of a socket, asked without waiting.
 #pragma once
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/socket.h>
+
+#include "model/time.h"
 
 namespace cairnhub {
 
@@ -14,4 +19,12 @@
 constexpr short kPeerClosed = POLLRDHUP | POLLHUP | POLLERR;
 inline bool peer_closed(int fd) { return (ready_events(fd, POLLRDHUP) & kPeerClosed) != 0; }
 
+// How long ago the last data came on a TCP connection, to the system's clock tick; 0 where it can't tell.
+inline Time since_last_data(int fd) {
+  tcp_info info{};
+  socklen_t length = sizeof info;
+  if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &length) != 0 || length < sizeof info) return 0;
+  return Time{info.tcpi_last_data_recv} * (kSecond / 1000);
+}
+
 }  // namespace cairnhub
--- a/src/fronts/http/take_in.cpp
+++ b/src/fronts/http/take_in.cpp
@@ -343,13 +343,21 @@
   }
 }
 
+// How long the request just read has waited since its last byte came: behind another one, or unread at its
+// socket. Danger: while accepting pauses, or the process is held up, it is read long after it came; servers
+// would be told a time that its client no longer has.
+Time TakeIn::time_waited(ClientState& client) {
+  const Time at = now();
+  const Time behind_others = at - client.arrivals.last_taken(input_length(client.connection), at);
+  return std::max(behind_others, since_last_data(socket_of(client.connection)));
+}
+
 void TakeIn::request(evhttp_request* r) {
   ClientState& client = client_of(evhttp_request_get_connection(r));
   client.request = r;
   client.has_requested = true, client.begun = 0;
   client.count_unfinished(input_length(client.connection));
-  const Time at = now();
-  const Time waited = at - client.arrivals.last_taken(input_length(client.connection), at);
+  const Time waited = time_waited(client);
   watch_for_departure(client);
   // Danger: nothing may be sent on for a client that has gone. The event of its end, just asked for, closes.
   if (peer_closed(socket_of(client.connection))) return;
--- a/src/fronts/http/take_in.h
+++ b/src/fronts/http/take_in.h
@@ -57,6 +57,7 @@
   struct ClientState;
   ClientState& client_of(evhttp_connection* connection);
   void request(evhttp_request* r);
+  static Time time_waited(ClientState& client);
   void watch_for_departure(ClientState& client);
   void on_closed(evhttp_connection* connection);
   void accepted();
--- a/src/fronts/platform/admit.h
+++ b/src/fronts/platform/admit.h
@@ -17,7 +17,7 @@
   const char *name, *op_type_said, *time_left, *retry;
   std::string_view body;
   std::string_view method = "POST", path = {}, parameters = {};  // of the URL, as they came
-  Time waited = 0;  // since its last byte came, behind other requests of its connection
+  Time waited = 0;  // since its last byte came: unread, or behind other requests of its connection
 };
 
 class Admit {
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -306,6 +306,23 @@
   c.gets();
 }
 
+void waited_unread() {  // a request's time passes while it lies unread at its socket: it isn't sent on
+  World w(Setup{});
+  Node one(1);
+  w.ready();
+  Client late;
+  {
+    const Stopped stopped(w);
+    late.asks("m1", "all", {0}, "0.2");
+    pass(300);
+  }
+  late.gets();
+  Client c;
+  c.asks("m2", "all", {0});
+  one.hits(one.reads(), "v");
+  c.gets();
+}
+
 void late_connection_left() {  // a connection comes up after the client of its attempt has gone: nothing is
                                // written
   World w({.connect_within = "60"});
@@ -542,18 +559,31 @@
   program = argv[1];
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
   const std::map<std::string, Scenario> scenarios = {
-      {"watch_silent", watch_silent},   {"watch_endless", watch_endless},
-      {"watch_returns", watch_returns}, {"watch_cut_off", watch_cut_off},
-      {"watch_down", watch_down},       {"unfinished", unfinished},
-      {"watch_spoilt", watch_spoilt},   {"reload_silent", reload_silent},
-      {"watch_polled", watch_polled},   {"no_servers", no_servers},
-      {"left_unread", left_unread},     {"left_behind_bytes", left_behind_bytes},
-      {"waited_behind", waited_behind}, {"late_connection_left", late_connection_left},
-      {"idle_ended", idle_ended},       {"idle_half_line", idle_half_line},
-      {"window_over", window_over},     {"window_open", window_open},
-      {"stop_backlog", stop_backlog},   {"stop_crowd", stop_crowd},
-      {"stop_half", stop_half},         {"stop_pipelined", stop_pipelined},
-      {"stop_thrice", stop_thrice},     {"crowd_and_discovery", crowd_and_discovery},
+      {"watch_silent", watch_silent},
+      {"watch_endless", watch_endless},
+      {"watch_returns", watch_returns},
+      {"watch_cut_off", watch_cut_off},
+      {"watch_down", watch_down},
+      {"unfinished", unfinished},
+      {"watch_spoilt", watch_spoilt},
+      {"reload_silent", reload_silent},
+      {"watch_polled", watch_polled},
+      {"no_servers", no_servers},
+      {"left_unread", left_unread},
+      {"left_behind_bytes", left_behind_bytes},
+      {"waited_behind", waited_behind},
+      {"waited_unread", waited_unread},
+      {"late_connection_left", late_connection_left},
+      {"idle_ended", idle_ended},
+      {"idle_half_line", idle_half_line},
+      {"window_over", window_over},
+      {"window_open", window_open},
+      {"stop_backlog", stop_backlog},
+      {"stop_crowd", stop_crowd},
+      {"stop_half", stop_half},
+      {"stop_pipelined", stop_pipelined},
+      {"stop_thrice", stop_thrice},
+      {"crowd_and_discovery", crowd_and_discovery},
   };
   const auto it = scenarios.find(argv[2]);
   if (it == scenarios.end()) return 2;
