Attempts and connections are named so in the core and the frames' sender; behaviour unchanged

Errand is Attempt; in the sender OnWay is InFlight and Link is Connection, let_go_idle is close_longest_idle.

--- a/src/broker/book.cpp
+++ b/src/broker/book.cpp
@@ -57,7 +57,7 @@
   return it == parts_.end() ? nullptr : it->second;
 }
 
-Outcome Book::ended(Errand& e, const Result& result) {
+Outcome Book::ended(Attempt& e, const Result& result) {
   e.ended = true, e.ended_at = now();
   Part& p = *e.part;
   Query& q = *p.query;
@@ -96,7 +96,7 @@
 void Book::forget_if_done(Query& q) {
   if (q.client) return;
   for (const auto& p : q.parts)
-    for (const auto& e : p->errands)
+    for (const auto& e : p->attempts)
       if (!e->ended) return;
   for (const auto& p : q.parts) parts_.erase(p->id);
   bytes_ -= q.bytes;
--- a/src/broker/book.h
+++ b/src/broker/book.h
@@ -29,8 +29,8 @@
   // What is held for a client beside its multigets, before and after a change of it.
   void recount(std::size_t before, std::size_t after) { bytes_ += after - before; }
 
-  // What became of it; the errand itself may be gone once this returns.
-  Outcome ended(Errand& errand, const Result& result);
+  // What became of it; the attempt itself may be gone once this returns.
+  Outcome ended(Attempt& attempt, const Result& result);
   bool hand_over();          // what was noted goes to the decider; false where there was nothing
   void close(Query& query);  // answered or abandoned: kept until its last send has ended
 
--- a/src/broker/hosts.h
+++ b/src/broker/hosts.h
@@ -35,15 +35,15 @@
   // Closes connections to a node that carry nothing; what the kernel still holds of them goes nowhere.
   virtual void let_go(NodeId id) = 0;
   // Told each end, exactly once for each send; it must only note it down.
-  using Ended = std::function<void(Errand&, const Result&)>;
+  using Ended = std::function<void(Attempt&, const Result&)>;
 
   // What the list says of a node; `name` is for the log.
   virtual void node(NodeId id, const std::string& name, const Address& address, NodeState state) = 0;
   virtual void forget(NodeId id) = 0;  // one of which nothing is out
-  virtual void send(Errand& errand, NodeId to) = 0;
-  virtual void give_up(Errand& errand) = 0;
-  virtual void withdraw(Errand& errand) = 0;  // gives it up if nothing of it is begun
-  virtual void flush() = 0;                   // what was sent this turn goes out
+  virtual void send(Attempt& attempt, NodeId to) = 0;
+  virtual void give_up(Attempt& attempt) = 0;
+  virtual void withdraw(Attempt& attempt) = 0;  // gives it up if nothing of it is begun
+  virtual void flush() = 0;                     // what was sent this turn goes out
 
  protected:
   Count count_;
--- a/src/broker/phased.cpp
+++ b/src/broker/phased.cpp
@@ -45,7 +45,7 @@
   }
   void pushed_back(const broker::Query& q, Time come_back) override {
     const bool sent =
-        std::any_of(q.parts.begin(), q.parts.end(), [](const auto& p) { return !p->errands.empty(); });
+        std::any_of(q.parts.begin(), q.parts.end(), [](const auto& p) { return !p->attempts.empty(); });
     ended(q, sent ? phases::RoundEnd::failed : phases::RoundEnd::pushed_back, come_back);
   }
   void failed(const broker::Query& q) override { ended(q, phases::RoundEnd::failed, 0); }
@@ -55,7 +55,7 @@
     const phases::Round& r = run.plan.round(round);
     if (r.kind != phases::RoundKind::match) return;
     for (std::size_t i = 0; i < q.parts.size(); ++i)
-      if (!q.parts[i]->errands.empty()) run.plan.sent(r.blocks[i]);
+      if (!q.parts[i]->attempts.empty()) run.plan.sent(r.blocks[i]);
   }
 
  private:
--- a/src/broker/query.h
+++ b/src/broker/query.h
@@ -39,8 +39,8 @@
   virtual void failed(const Query& query) = 0;   // may have taken effect
 };
 
-// One send of one part, as the sending stage holds it.
-struct Errand {
+// One attempt of one part, as the sending stage holds it.
+struct Attempt {
   Part* part = nullptr;
   NodeId node = 0;
   int index = 0;
@@ -60,7 +60,7 @@
   std::optional<std::string> text;  // its own; none: the multiget's
   std::string target;  // where it's asked at hosts that speak HTTP; goes before the text elsewhere
   std::optional<std::string> value;
-  std::vector<std::unique_ptr<Errand>> errands;
+  std::vector<std::unique_ptr<Attempt>> attempts;
 };
 
 struct Query {
--- a/src/broker/route.cpp
+++ b/src/broker/route.cpp
@@ -112,7 +112,7 @@
 void Route::end(Query& q) {
   if (common_) --held_[counted_as(q.op_type)];
   for (const auto& p : q.parts)
-    for (const auto& e : p->errands) hosts_.withdraw(*e);
+    for (const auto& e : p->attempts) hosts_.withdraw(*e);
   book_.close(q);
 }
 
@@ -157,7 +157,7 @@
     case Kind::send:
       return send(d);
     case Kind::cancel:
-      if (Part* p = book_.part(d.request)) hosts_.give_up(*p->errands.at(d.send_index));
+      if (Part* p = book_.part(d.request)) hosts_.give_up(*p->attempts.at(d.send_index));
       return;
     case Kind::wake:
       wakes_.emplace(now() + d.span, d.token);
@@ -193,13 +193,13 @@
 void Route::send(const Decision& d) {
   Part* p = book_.part(d.request);
   if (!p) return;
-  auto e = std::make_unique<Errand>();
-  e->part = p, e->node = d.node, e->index = static_cast<int>(p->errands.size());
+  auto e = std::make_unique<Attempt>();
+  e->part = p, e->node = d.node, e->index = static_cast<int>(p->attempts.size());
   e->sent_at = now(), e->until = e->sent_at + d.span;
   if (d.begin_within != kNever) e->begin_by = e->sent_at + d.begin_within;
-  p->errands.push_back(std::move(e));
-  if (common_) with_.sent(*p->errands.back());
-  hosts_.send(*p->errands.back(), d.node);
+  p->attempts.push_back(std::move(e));
+  if (common_) with_.sent(*p->attempts.back());
+  hosts_.send(*p->attempts.back(), d.node);
 }
 
 }  // namespace cairnhub::broker
--- a/src/broker/route.h
+++ b/src/broker/route.h
@@ -22,7 +22,7 @@
   // clients whom it turns away; 0: none.
   struct Held {
     std::function<void()> apply, refresh;
-    std::function<void(Errand&)> sent;
+    std::function<void(Attempt&)> sent;
     Time come_back = 0;
   };
   void hold(Common& common, Held held);
--- a/src/broker/trace.cpp
+++ b/src/broker/trace.cpp
@@ -55,7 +55,7 @@
   if (come_back > 0) line += ", come back in " + ms(come_back);
   std::string sends;
   for (std::size_t i = 0; i < q.parts.size(); ++i)
-    for (const auto& e : q.parts[i]->errands) {
+    for (const auto& e : q.parts[i]->attempts) {
       const std::string name = names ? names(e->node) : std::string();
       sends += (sends.empty() ? "" : ", ") + std::to_string(i) + "." + std::to_string(e->index) + " at " +
                (name.empty() ? "node " + std::to_string(e->node) : name) + " ";
--- a/src/fronts/opensearch/front.cpp
+++ b/src/fronts/opensearch/front.cpp
@@ -134,7 +134,7 @@
   }
   void pushed_back(const broker::Query& q, Time come_back) override {
     const bool sent =
-        std::any_of(q.parts.begin(), q.parts.end(), [](auto& p) { return !p->errands.empty(); });
+        std::any_of(q.parts.begin(), q.parts.end(), [](auto& p) { return !p->attempts.empty(); });
     job_->end(slot_, sent ? os::failed(standing(q, false)) : os::pushed_back(), come_back);
   }
   void failed(const broker::Query& q) override { job_->end(slot_, os::failed(standing(q, false))); }
@@ -152,8 +152,8 @@
       }
       os::Failure f;
       f.index = index_.name, f.block = p->shard - index_.first;
-      if (!p->errands.empty()) {
-        const broker::Errand& last = *p->errands.back();
+      if (!p->attempts.empty()) {
+        const broker::Attempt& last = *p->attempts.back();
         f.node = home_.around_.node_name(last.node);
         f.how = how(last);
         const auto why = unusable_.find(p->shard);
@@ -164,7 +164,7 @@
     }
     return s;
   }
-  static os::Failure::How how(const broker::Errand& e) {
+  static os::Failure::How how(const broker::Attempt& e) {
     if (!e.ended) return os::Failure::How::timed_out;
     switch (e.how) {
       case Outcome::full:
--- a/src/hosts/frames/sender.h
+++ b/src/hosts/frames/sender.h
@@ -28,30 +28,30 @@
   void node(NodeId id, const std::string& name, const Address& address, NodeState state) override;
   void forget(NodeId id) override;
   void let_go(NodeId id) override;
-  void send(Errand& errand, NodeId to) override;
-  void give_up(Errand& errand) override;
-  void withdraw(Errand& errand) override;
+  void send(Attempt& attempt, NodeId to) override;
+  void give_up(Attempt& attempt) override;
+  void withdraw(Attempt& attempt) override;
   void flush() override;
 
  private:
   struct Call;
-  struct Link;
+  struct Connection;
   struct Node;
-  struct OnWay;
+  struct InFlight;
 
-  Link* link_with_room(Node& node);
-  Link* open(Node& node);
-  void let_go_idle();
-  void write(Link& link);
-  void withdraw_expired(Link& link);
-  void readable(Link& link);
-  void happened(Link& link, short what);
-  const char* take_frame(Link& link, std::string_view bytes);  // what is wrong with it, or null
-  void break_off(Link& link, const char* why, End how = End::broken);
-  void finish(OnWay& way, const Result& result);
-  void stop(OnWay& way, End why);
-  Reached reached(const OnWay& way) const;
-  void handed_over(Link& link, const Errand& errand, std::size_t bytes);
+  Connection* connection_with_room(Node& node);
+  Connection* open(Node& node);
+  void close_longest_idle();
+  void write(Connection& connection);
+  void withdraw_expired(Connection& connection);
+  void readable(Connection& connection);
+  void happened(Connection& connection, short what);
+  const char* take_frame(Connection& connection, std::string_view bytes);  // what is wrong with it, or null
+  void break_off(Connection& connection, const char* why, End how = End::broken);
+  void finish(InFlight& sent, const Result& result);
+  void stop(InFlight& sent, End why);
+  Reached reached(const InFlight& sent) const;
+  void handed_over(Connection& connection, const Attempt& attempt, std::size_t bytes);
 
   event_base* base_;
   SendLimits limits_;
@@ -59,7 +59,7 @@
   std::function<void()> turn_;
   std::size_t open_ = 0;
   std::map<NodeId, std::unique_ptr<Node>> nodes_;
-  std::map<Errand*, std::unique_ptr<OnWay>> ways_;
+  std::map<Attempt*, std::unique_ptr<InFlight>> in_flight_;
   std::vector<Node*> touched_;  // this turn, in the order first sent to
 };
 
--- a/src/hosts/search/searcher.cpp
+++ b/src/hosts/search/searcher.cpp
@@ -21,7 +21,7 @@
 }  // namespace
 
 struct Searcher::Way {
-  Errand* errand = nullptr;
+  Attempt* attempt = nullptr;
   Node* node = nullptr;
   Link* link = nullptr;  // none while it waits for one
   std::unique_ptr<Timer> timeout;
@@ -124,15 +124,15 @@
   for (Link* link : idle) drop(*link);
 }
 
-void Searcher::send(Errand& errand, NodeId to) {
+void Searcher::send(Attempt& attempt, NodeId to) {
   Node& n = *nodes_.at(to);
-  auto& way = ways_[&errand] = std::make_unique<Way>();
-  way->errand = &errand, way->node = &n;
+  auto& way = ways_[&attempt] = std::make_unique<Way>();
+  way->attempt = &attempt, way->node = &n;
   way->timeout = std::make_unique<Timer>(base_, [this, w = way.get()] {
     stop(*w, End::timed_out);
     turn_();
   });
-  way->timeout->start(errand.until - now());
+  way->timeout->start(attempt.until - now());
   if (n.this_turn.empty()) touched_.push_back(&n);
   n.this_turn.push_back(way.get());
 }
@@ -152,7 +152,7 @@
     Way* way = n.waiting.front();
     n.waiting.pop_front();
     // Danger: what may have run would be repeated after repeats are no longer dropped.
-    if (way->errand->begin_by < now())
+    if (way->attempt->begin_by < now())
       finish(*way, {End::given_up, Reached::never_connected, {}});
     else
       begin(*way, *link);
@@ -181,7 +181,7 @@
 }
 
 void Searcher::begin(Way& way, Link& link) {
-  const Part& p = *way.errand->part;
+  const Part& p = *way.attempt->part;
   way.link = &link, link.way = &way;
   link.to_write = link.written = link.came = 0, link.error = -1;
   link.request = evhttp_request_new(
@@ -201,7 +201,7 @@
   evhttp_add_header(headers, "Content-Type", "application/json");
   const std::string& text = p.text ? *p.text : p.query->text;
   evbuffer_add(evhttp_request_get_output_buffer(link.request), text.data(), text.size());
-  const timeval until{std::max<Time>(0, way.errand->until - now()) / kSecond + 1, 0};
+  const timeval until{std::max<Time>(0, way.attempt->until - now()) / kSecond + 1, 0};
   evhttp_connection_set_timeout_tv(link.connection, &until);
   if (evhttp_make_request(link.connection, link.request, EVHTTP_REQ_POST, p.target.c_str()) != 0) {
     link.request = nullptr;  // gone with the failure
@@ -242,13 +242,13 @@
   next(node);
 }
 
-void Searcher::give_up(Errand& errand) {
-  const auto it = ways_.find(&errand);
+void Searcher::give_up(Attempt& attempt) {
+  const auto it = ways_.find(&attempt);
   if (it != ways_.end()) stop(*it->second, End::given_up);
 }
 
-void Searcher::withdraw(Errand& errand) {
-  const auto it = ways_.find(&errand);
+void Searcher::withdraw(Attempt& attempt) {
+  const auto it = ways_.find(&attempt);
   if (it == ways_.end()) return;
   // Rule 1: one that still waits to be written, or whose connection isn't up, must not go out after the
   // answer.
@@ -272,13 +272,13 @@
   std::erase(way.node->waiting, &way);
   if (way.link) {
     if (count_)
-      count_({way.node->id, way.errand->account, static_cast<long long>(way.link->written),
+      count_({way.node->id, way.attempt->account, static_cast<long long>(way.link->written),
               static_cast<long long>(way.link->came)});
     way.link->way = nullptr, way.link->idle_since = now();
     if (!sweep_.pending()) sweep_.start(limits_.idle_at_most / 4 + 1);
   }
-  const auto kept = ways_.extract(way.errand);
-  ended_(*way.errand, result);
+  const auto kept = ways_.extract(way.attempt);
+  ended_(*way.attempt, result);
 }
 
 // Takes a connection out of use: nothing of it is written any more, and it is freed outside the library's
--- a/src/hosts/search/searcher.h
+++ b/src/hosts/search/searcher.h
@@ -39,9 +39,9 @@
   void node(NodeId id, const std::string& name, const Address& address, NodeState state) override;
   void forget(NodeId id) override;
   void let_go(NodeId id) override;
-  void send(Errand& errand, NodeId to) override;
-  void give_up(Errand& errand) override;
-  void withdraw(Errand& errand) override;
+  void send(Attempt& attempt, NodeId to) override;
+  void give_up(Attempt& attempt) override;
+  void withdraw(Attempt& attempt) override;
   void flush() override;
 
  private:
@@ -64,7 +64,7 @@
   std::function<void()> turn_;
   std::size_t open_ = 0;
   std::map<NodeId, std::unique_ptr<Node>> nodes_;
-  std::map<Errand*, std::unique_ptr<Way>> ways_;
+  std::map<Attempt*, std::unique_ptr<Way>> ways_;
   std::vector<Node*> touched_;
   std::vector<std::unique_ptr<Link>> dropped_;  // freed outside the library's callbacks
   Timer sweep_;
@@ -85,9 +85,9 @@
     of(id).node(id, name, address, state);
   }
   void forget(NodeId id) override { of(id).forget(id), kinds_.erase(id); }
-  void send(Errand& errand, NodeId to) override { of(to).send(errand, to); }
-  void give_up(Errand& errand) override { of(errand.node).give_up(errand); }
-  void withdraw(Errand& errand) override { of(errand.node).withdraw(errand); }
+  void send(Attempt& attempt, NodeId to) override { of(to).send(attempt, to); }
+  void give_up(Attempt& attempt) override { of(attempt.node).give_up(attempt); }
+  void withdraw(Attempt& attempt) override { of(attempt.node).withdraw(attempt); }
   void flush() override { frames_.flush(), search_.flush(); }
   void look(std::function<void()> look) override { frames_.look(look), search_.look(std::move(look)); }
   void let_go(NodeId id) override { of(id).let_go(id); }
--- a/src/server/broker.cpp
+++ b/src/server/broker.cpp
@@ -80,10 +80,10 @@
         decider(c.seed),
         book(decider, c.memory),
         sender(
-            base, send_limits(c), [this](Errand& e, const Result& r) { ended(e, r); },
+            base, send_limits(c), [this](Attempt& e, const Result& r) { ended(e, r); },
             [this] { route.turn(); }),
         searcher(
-            base, search_limits(c, extras), [this](Errand& e, const Result& r) { ended(e, r); },
+            base, search_limits(c, extras), [this](Attempt& e, const Result& r) { ended(e, r); },
             [this] { route.turn(); }),
         hosts(sender, searcher),
         route(
@@ -139,7 +139,7 @@
                     members.reconsider();
                   },
                   [this] { keep_near(); },
-                  [this](Errand& e) {
+                  [this](Attempt& e) {
                     e.account = {route.counted_as(e.part->query->op_type), members.zone_of(e.node), false};
                     ++out[e.node];
                     e.account.over_budget = common->sent(e.account.zone, e.account.op_type);
@@ -159,8 +159,8 @@
     watch.call();
   }
 
-  void ended(Errand& e, const Result& r) {
-    // Danger: the book forgets a multiget with its last send, and the errand with it.
+  void ended(Attempt& e, const Result& r) {
+    // Danger: the book forgets a multiget with its last send, and the attempt with it.
     const NodeId node = e.node;
     const Time latency = now() - e.sent_at;
     const Account whose = e.account;
--- a/tests/mangled.cpp
+++ b/tests/mangled.cpp
@@ -92,7 +92,7 @@
     settings::apply(s, d);
     Book book(d, 1 << 26);
     Sender sender(
-        base, {32, 1, kSecond, kSecond, 8}, [](Errand&, const Result&) {}, [] {});
+        base, {32, 1, kSecond, kSecond, 8}, [](Attempt&, const Result&) {}, [] {});
     Route route(
         base, d, book, sender, [](NodeId) {}, [] { return false; });
     Admit admit(s, book, route);
