Connections to search servers and to discovery send small writes at once, as all others do

A request past one write waits with its last bytes for an acknowledgement, and loses them with a reset. One function sets it everywhere now. closing_order_no_delay looks at the options of all four kinds; without the change in searcher.cpp or in watch.cpp it says "what is written at port 9101 (8500) may wait".

--- a/src/base/sockets.h
+++ b/src/base/sockets.h
@@ -19,6 +19,13 @@
 constexpr short kPeerClosed = POLLRDHUP | POLLHUP | POLLERR;
 inline bool peer_closed(int fd) { return (ready_events(fd, POLLRDHUP) & kPeerClosed) != 0; }
 
+// What is written goes out at once. Danger: the last, small bytes of a message would wait until what went
+// before them is acknowledged, and be lost with a connection that is closed or reset meanwhile.
+inline void send_without_delay(int fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
 // How long ago the last data came on a TCP connection, to the system's clock tick; 0 where it can't tell.
 inline Time since_last_data(int fd) {
   tcp_info info{};
--- a/src/broker/watch.cpp
+++ b/src/broker/watch.cpp
@@ -1,12 +1,14 @@
 #include "broker/watch.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 
 #include <stdexcept>
 #include <utility>
 
 #include "base/clock.h"
+#include "base/sockets.h"
 
 namespace cairnhub::broker {
 
@@ -129,7 +131,8 @@
                              : wait + timing_.answer_within);
   // A request that can't be made is gone with the failure.
   if (evhttp_make_request(connection_, request, EVHTTP_REQ_GET, path.c_str()) != 0)
-    on_failure("can't be called");
+    return on_failure("can't be called");
+  send_without_delay(bufferevent_getfd(evhttp_connection_get_bufferevent(connection_)));
 }
 
 const char* Watch::take_answer(evhttp_request* request) {
--- a/src/fronts/http/take_in.cpp
+++ b/src/fronts/http/take_in.cpp
@@ -5,8 +5,6 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -242,8 +240,7 @@
       },
       this);
   bufferevent* bev = evhttp_connection_get_bufferevent(connection);
-  const int on = 1;
-  setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  send_without_delay(bufferevent_getfd(bev));
   // Danger: the library's parser waits for the end of a chunk's length without bound. Reading stops here, and
   // the connection goes when its time for a whole request is up.
   bufferevent_setwatermark(bev, EV_READ, 0, kInputMost);
--- a/src/hosts/frames/sender.cpp
+++ b/src/hosts/frames/sender.cpp
@@ -1,8 +1,6 @@
 #include "hosts/frames/sender.h"
 
 #include <event2/buffer.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 
 #include <algorithm>
 #include <deque>
@@ -279,8 +277,7 @@
   if (what & BEV_EVENT_CONNECTED) {
     connection.up = true;
     connection.limit->stop();
-    const int on = 1;
-    setsockopt(bufferevent_getfd(connection.bev), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    send_without_delay(bufferevent_getfd(connection.bev));
     bufferevent_enable(connection.bev, EV_READ | EV_WRITE);
     if (look_) look_();
     return write(connection);
--- a/src/hosts/search/searcher.cpp
+++ b/src/hosts/search/searcher.cpp
@@ -3,14 +3,12 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 #include <algorithm>
 #include <utility>
 
 #include "base/clock.h"
+#include "base/sockets.h"
 
 namespace cairnhub::broker {
 
@@ -206,8 +204,9 @@
   if (evhttp_make_request(link.connection, link.request, EVHTTP_REQ_POST, p.target.c_str()) != 0) {
     link.request = nullptr;  // gone with the failure
     finish(way, {End::broken, Reached::never_connected, {}});
-    drop(link);
+    return drop(link);
   }
+  send_without_delay(bufferevent_getfd(evhttp_connection_get_bufferevent(link.connection)));
 }
 
 void Searcher::answered(Link& link, evhttp_request* r) {
--- a/tests/closing_order.cpp
+++ b/tests/closing_order.cpp
@@ -4,13 +4,15 @@
 // fall due while the loop stands still.
 // Also a broker that has something to do in every turn of the loop, ahead of its own timer; and one that
 // decides on attempts, after it stood still, before the loop has told it of a client's leaving.
-//   closing_order idle | slow_writer | busy | left_before_copy | left_before_connected
+//   closing_order idle | slow_writer | busy | left_before_copy | left_before_connected | no_delay
 #include <event2/event.h>
+#include <netinet/tcp.h>
 
 #include <cstdio>
 #include <fstream>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "base/timer.h"
@@ -27,6 +29,7 @@
 namespace {
 
 constexpr cairnhub::Time kMs = cairnhub::kSecond / 1000;
+constexpr const char* kSearchFlavor = "s";  // of the second server, where its protocol counts
 const std::string kHealth = "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n";
 
 // As many servers, each of which holds all there is; requests may take so many seconds.
@@ -38,7 +41,8 @@
   std::string members;
   for (int n = 0; n < servers; ++n)
     members += (n > 0 ? "," : "") + std::string(R"({"id":"s-)") + std::to_string(n) +
-               R"(","cell":0,"phase":"in_service","up_since_ms":0,"host_port":")" + text(kNode + n) + "\"}";
+               R"(","cell":0,"flavor":")" + (n == 1 ? kSearchFlavor : "m") +
+               R"(","phase":"in_service","up_since_ms":0,"host_port":")" + text(kNode + n) + "\"}";
   std::ofstream(name) << R"({"listen":")" << text(kBroker) << R"(","discovery":")" << text(kDiscovery)
                       << R"(","seed":"1f","limits":{"memory_mb":192,"sockets":256},)"
                       << R"("known":{"revision":1,"complete":true,"members":[)" << members << "]},"
@@ -56,9 +60,9 @@
   std::unique_ptr<Broker> broker;
   Client client;
 
-  explicit Rig(int servers = 1, const std::string& ceilings = {}, const std::string& seconds = "1")
-      : broker(
-            std::make_unique<Broker>(base, config(servers, ceilings, seconds), cairnhub::broker::Extras{})) {}
+  explicit Rig(int servers = 1, const std::string& ceilings = {}, const std::string& seconds = "1",
+               const cairnhub::broker::Extras& extras = {})
+      : broker(std::make_unique<Broker>(base, config(servers, ceilings, seconds), extras)) {}
   Rig(const Rig&) = delete;
   Rig& operator=(const Rig&) = delete;
   ~Rig() {
@@ -189,6 +193,46 @@
   return written_to(rig, *server.peer);
 }
 
+// The port of one end of a TCP connection; 0 for what is none.
+int port_of(int fd, int (*end)(int, sockaddr*, socklen_t*)) {
+  sockaddr_in at{};
+  socklen_t length = sizeof at;
+  if (end(fd, reinterpret_cast<sockaddr*>(&at), &length) != 0 || at.sin_family != AF_INET) return 0;
+  return ntohs(at.sin_port);
+}
+
+// The broker's ends of its connections (clients', two servers' of either protocol, discovery's) send what is
+// written at once.
+std::string no_delay() {
+  cairnhub::broker::Extras extras;
+  extras.search_flavor = kSearchFlavor;
+  Rig rig(2, "", "30", extras);
+  const Node servers[] = {Node(0), Node(1)};
+  Client second;
+  // The second request goes to the server that has nothing out.
+  rig.client.peer.write(Client::request("m1", "all", Client::parts({0}), "30"));
+  second.peer.write(Client::request("m2", "all", Client::parts({0}), "30"));
+  for (int i = 0; !readable(servers[0].door->fd, 0) || !readable(servers[1].door->fd, 1); ++i) {
+    if (i == kPatienceMs) give_up("a server isn't connected to");
+    rig.turn();
+  }
+  rig.turn();  // what is connected by now is told in this turn
+  const std::set<int> called = {kNode, kNode + 1, kDiscovery};
+  std::map<int, bool> without_delay;  // by the port called
+  for (int fd = 0; fd < 256; ++fd) {
+    const int local = port_of(fd, getsockname), remote = port_of(fd, getpeername);
+    if (remote == 0 || (local != kBroker && called.count(remote) == 0)) continue;
+    int on = 0;
+    socklen_t length = sizeof on;
+    getsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, &length);
+    bool& all = without_delay.try_emplace(local == kBroker ? kBroker : remote, true).first->second;
+    all = all && on != 0;
+  }
+  for (const auto& [port, at_once] : without_delay)
+    if (!at_once) return "what is written at port " + std::to_string(port) + " may wait";
+  return without_delay.size() == 4 ? "all send at once" : "not all connections are there";
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -198,10 +242,12 @@
       {"busy", busy},
       {"left_before_copy", left_before_copy},
       {"left_before_connected", left_before_connected},
+      {"no_delay", no_delay},
   };
   const auto scenario = argc == 2 ? scenarios.find(argv[1]) : scenarios.end();
   if (scenario == scenarios.end()) return 2;
   const std::string got = scenario->second();
   std::printf("%s: %s\n", argv[1], got.c_str());
+  if (scenario->second == no_delay) return got == "all send at once" ? 0 : 1;
   return got == "connection ended" || got == "an attempt was begun" ? 1 : 0;
 }
