Tests: lists in chunks, signals at the start, a slow reader as the broker ends

Hard cases of the hardening that had no test of their own. No change to the program; all three held before. cross_watch_chunked: a list in chunks that breaks off is none, one of single bytes is. cross_stop_at_start: SIGTERM before it listens, as it does, as it is ready (after SIGHUP). closing_order_slow_reader: a 60,000 byte answer to a client that reads slowly outlasts the door; with `quiet` taken out of Broker::close it says "it ends over an answer that isn't written".

--- a/tests/closing_order.cpp
+++ b/tests/closing_order.cpp
@@ -4,7 +4,8 @@
 // fall due while the loop stands still.
 // Also a broker that has something to do in every turn of the loop, ahead of its own timer; and one that
 // decides on attempts, after it stood still, before the loop has told it of a client's leaving.
-//   closing_order idle | slow_writer | busy | left_before_copy | left_before_connected | no_delay
+//   closing_order idle | slow_writer | busy | left_before_copy | left_before_connected | no_delay |
+//   slow_reader
 #include <event2/event.h>
 #include <netinet/tcp.h>
 
@@ -14,6 +15,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "base/timer.h"
 #include "broker/route.h"
@@ -201,6 +203,50 @@
   return ntohs(at.sin_port);
 }
 
+// A long answer is on its way to a client that reads slowly as the broker is told to end: it waits for that,
+// and the answer arrives whole.
+std::string slow_reader() {
+  Rig rig;
+  Node server(0);
+  rig.client.peer.write(Client::request("m1", "all", Client::parts({0}), "1"));
+  for (int i = 0; !readable(server.door->fd, 1); ++i) {
+    if (i == kPatienceMs) give_up("the server isn't connected to");
+    rig.turn();
+  }
+  server.accept();
+  for (int i = 0; !readable(server.peer->fd, 1); ++i) {
+    if (i == kPatienceMs) give_up("the server isn't asked");
+    rig.turn();
+  }
+  const std::string call = server.reads(false), value(60000, 'v');
+  // Most of the answer stays with the broker.
+  const int small = 4096;
+  setsockopt(rig.client.peer.fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+  for (int fd = 0; fd < 256; ++fd)
+    if (port_of(fd, getsockname) == kBroker && port_of(fd, getpeername) != 0)
+      setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &small, sizeof small);
+  server.peer->write(framed('E', call.substr(1, call.find(' ') - 1) + " hit 7 -\n" + value));
+  for (int i = 0; !readable(rig.client.peer.fd, 1); ++i) {
+    if (i == kPatienceMs) give_up("the client hears nothing");
+    rig.turn();
+  }
+  bool ended = false;
+  rig.broker->shut_down([&] { ended = true; });
+  rig.stand_still(600);  // past the time in which clients may still come
+  rig.turn();
+  if (ended) return "it ends over an answer that isn't written";
+  std::string got;
+  for (int i = 0; !ended && i < kPatienceMs; ++i) {
+    rig.turn();
+    char some[512];
+    const ssize_t n = recv(rig.client.peer.fd, some, sizeof some, MSG_DONTWAIT);
+    if (n > 0) got.append(some, static_cast<std::size_t>(n));
+    if (n < 0) poll(nullptr, 0, 1);
+  }
+  while (rig.client.peer.more()) got += std::exchange(rig.client.peer.in, {});  // what the system still holds
+  return got.find(value + "\"}]}") != std::string::npos ? "the whole answer" : "less than the answer";
+}
+
 // The broker's ends of its connections (clients', two servers' of either protocol, discovery's) send what is
 // written at once.
 std::string no_delay() {
@@ -243,11 +289,13 @@
       {"left_before_copy", left_before_copy},
       {"left_before_connected", left_before_connected},
       {"no_delay", no_delay},
+      {"slow_reader", slow_reader},
   };
   const auto scenario = argc == 2 ? scenarios.find(argv[1]) : scenarios.end();
   if (scenario == scenarios.end()) return 2;
   const std::string got = scenario->second();
   std::printf("%s: %s\n", argv[1], got.c_str());
   if (scenario->second == no_delay) return got == "all send at once" ? 0 : 1;
+  if (scenario->second == slow_reader) return got == "the whole answer" ? 0 : 1;
   return got == "connection ended" || got == "an attempt was begun" ? 1 : 0;
 }
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <fstream>
 #include <map>
 #include <memory>
@@ -122,6 +123,31 @@
   c.gets();
 }
 
+// Lists in chunks: one that comes in pieces is taken when its last chunk is in; one whose connection ends
+// before that is no list.
+void watch_chunked() {
+  World w({.cells = 2, .replicas = 2});
+  Node two(2);
+  w.ready();
+  const auto chunk = [](const std::string& bytes) {
+    char length[16];
+    std::snprintf(length, sizeof length, "%zx\r\n", bytes.size());
+    return length + bytes + "\r\n";
+  };
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  w.asked();
+  w.watch->write(head + chunk(w.list(2, true, "terminating")));
+  w.watch->end();
+  w.watch.reset();
+  w.asked();
+  const std::string sound = w.list(3, true, "in_service", 2);
+  w.watch->write(head);
+  for (const char byte : sound) w.watch->write(chunk(std::string(1, byte)));
+  w.watch->write("0\r\n\r\n");
+  w.asked();
+  serves_all(two);
+}
+
 // The most memory that the program has held, in kB.
 long peak_memory(const World& w) {
   std::ifstream status("/proc/" + std::to_string(w.pid) + "/status");
@@ -530,6 +556,32 @@
   w.ends();
 }
 
+// SIGTERM and SIGHUP as the program starts: before it listens, as soon as it does, and as soon as it is
+// ready. It ends as it was told, by the signal where it had not begun to take requests.
+void stop_at_start() {
+  for (const char* when : {"at once", "as it listens", "as it is ready"}) {
+    World w(Setup{});
+    if (std::strcmp(when, "as it is ready") == 0) {
+      w.ready();
+    } else if (std::strcmp(when, "as it listens") == 0) {
+      for (int i = 0; Client().peer.fd < 0; ++i) {
+        if (i == kPatienceMs) give_up("the program doesn't listen");
+        pass(1);
+      }
+    }
+    const bool took_requests = std::strcmp(when, "as it is ready") == 0;
+    if (took_requests) kill(w.pid, SIGHUP);  // before that it may find no handler yet
+    kill(w.pid, SIGTERM);
+    int status = 0;
+    waitpid(w.pid, &status, 0);
+    w.pid = 0;
+    const bool exited = WIFEXITED(status) && WEXITSTATUS(status) == 0;
+    const bool by_signal = WIFSIGNALED(status) && WTERMSIG(status) == SIGTERM;
+    std::printf("SIGTERM %s: %s\n", when,
+                exited || (by_signal && !took_requests) ? "ends" : "ends otherwise");
+  }
+}
+
 // ---- Descriptors ----
 
 void crowd_and_discovery() {  // idle clients fill the descriptors while discovery is down: the watch comes
@@ -564,6 +616,7 @@
       {"watch_returns", watch_returns},
       {"watch_cut_off", watch_cut_off},
       {"watch_down", watch_down},
+      {"watch_chunked", watch_chunked},
       {"unfinished", unfinished},
       {"watch_spoilt", watch_spoilt},
       {"reload_silent", reload_silent},
@@ -583,6 +636,7 @@
       {"stop_half", stop_half},
       {"stop_pipelined", stop_pipelined},
       {"stop_thrice", stop_thrice},
+      {"stop_at_start", stop_at_start},
       {"crowd_and_discovery", crowd_and_discovery},
   };
   const auto it = scenarios.find(argv[2]);
