Tests: one way to turn the loop until something holds, one served request before idle ends

Re-reading found six loops of the same shape in closing_order.cpp and the same beginning of two scenarios in crossings.cpp.

--- a/tests/closing_order.cpp
+++ b/tests/closing_order.cpp
@@ -72,6 +72,14 @@
     event_base_free(base);
   }
   void turn() const { event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK); }
+  // The loop runs until this holds.
+  template <class Condition>
+  void turn_until(Condition holds, const char* otherwise) const {
+    for (int i = 0; !holds(); ++i) {
+      if (i == kPatienceMs) give_up(otherwise);
+      turn();
+    }
+  }
   // Until the client has something to read: what it reads, as one line.
   std::string answer() {
     for (int i = 0; i < kPatienceMs; ++i) {
@@ -132,11 +140,8 @@
 
 // What a server has been written once the broker has nothing in hand any more.
 std::string written_to(const Rig& rig, Peer& server) {
-  for (int i = 0; rig.broker->book().held() > 0; ++i) {
-    if (i == kPatienceMs) give_up("the broker keeps the request");
-    rig.turn();
-    poll(nullptr, 0, 1);
-  }
+  const auto nothing_in_hand = [&] { return poll(nullptr, 0, 1) == 0 && rig.broker->book().held() == 0; };
+  rig.turn_until(nothing_in_hand, "the broker keeps the request");
   rig.turn();
   char some[4096];
   const ssize_t n = recv(server.fd, some, sizeof some, MSG_DONTWAIT);
@@ -164,13 +169,9 @@
     rig.answer();
   }
   rig.client.peer.write(Client::request("m1", "all", Client::parts({0}), "1"));
-  int first = -1;
-  for (int turns = 0; first < 0; ++turns) {
-    if (turns == kPatienceMs) give_up("no server is asked");
-    rig.turn();
-    for (int n = 0; n < 2; ++n)
-      if (readable(servers[n].peer->fd, 1)) first = n;
-  }
+  const auto is_asked = [&](int n) { return readable(servers[n].peer->fd, 1); };
+  rig.turn_until([&] { return is_asked(0) || is_asked(1); }, "no server is asked");
+  const int first = is_asked(0) ? 0 : 1;
   rig.client.peer.end();
   poll(nullptr, 0, 700);  // of the second that the request has; it is overdue after half of it at the latest
   rig.broker->route().turn();
@@ -183,10 +184,7 @@
   Node server(0, 0);
   FullBacklog full(server);
   rig.client.peer.write(Client::request("m1", "all", Client::parts({0}), "30"));
-  for (int i = 0; rig.broker->book().held() == 0; ++i) {
-    if (i == kPatienceMs) give_up("the request isn't read");
-    rig.turn();
-  }
+  rig.turn_until([&] { return rig.broker->book().held() > 0; }, "the request isn't read");
   full.empty(server);
   server.accept();
   rig.client.peer.end();
@@ -209,15 +207,9 @@
   Rig rig;
   Node server(0);
   rig.client.peer.write(Client::request("m1", "all", Client::parts({0}), "1"));
-  for (int i = 0; !readable(server.door->fd, 1); ++i) {
-    if (i == kPatienceMs) give_up("the server isn't connected to");
-    rig.turn();
-  }
+  rig.turn_until([&] { return readable(server.door->fd, 1); }, "the server isn't connected to");
   server.accept();
-  for (int i = 0; !readable(server.peer->fd, 1); ++i) {
-    if (i == kPatienceMs) give_up("the server isn't asked");
-    rig.turn();
-  }
+  rig.turn_until([&] { return readable(server.peer->fd, 1); }, "the server isn't asked");
   const std::string call = server.reads(false), value(60000, 'v');
   // Most of the answer stays with the broker.
   const int small = 4096;
@@ -226,10 +218,7 @@
     if (port_of(fd, getsockname) == kBroker && port_of(fd, getpeername) != 0)
       setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &small, sizeof small);
   server.peer->write(framed('E', call.substr(1, call.find(' ') - 1) + " hit 7 -\n" + value));
-  for (int i = 0; !readable(rig.client.peer.fd, 1); ++i) {
-    if (i == kPatienceMs) give_up("the client hears nothing");
-    rig.turn();
-  }
+  rig.turn_until([&] { return readable(rig.client.peer.fd, 1); }, "the client hears nothing");
   bool ended = false;
   rig.broker->shut_down([&] { ended = true; });
   rig.stand_still(600);  // past the time in which clients may still come
@@ -258,10 +247,8 @@
   // The second request goes to the server that has nothing out.
   rig.client.peer.write(Client::request("m1", "all", Client::parts({0}), "30"));
   second.peer.write(Client::request("m2", "all", Client::parts({0}), "30"));
-  for (int i = 0; !readable(servers[0].door->fd, 0) || !readable(servers[1].door->fd, 1); ++i) {
-    if (i == kPatienceMs) give_up("a server isn't connected to");
-    rig.turn();
-  }
+  rig.turn_until([&] { return readable(servers[0].door->fd, 0) && readable(servers[1].door->fd, 1); },
+                 "a server isn't connected to");
   rig.turn();  // what is connected by now is told in this turn
   const std::set<int> called = {kNode, kNode + 1, kDiscovery};
   std::map<int, bool> without_delay;  // by the port called
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -372,15 +372,20 @@
 
 // ---- Attempts at nodes ----
 
+// A request that may not be repeated is served; its connection to the node is idle then.
+void serves_one(Node& node, Client& c) {
+  c.asks("m1", "once", {0});
+  node.hits(node.reads(), "v");
+  c.gets();
+}
+
 void idle_ended() {  // a node ends its idle connection as a request comes: it isn't written where it would be
                      // lost
   World w(Setup{});
   Node one(1);
   w.ready();
   Client c;
-  c.asks("m1", "once", {0});
-  one.hits(one.reads(), "v");
-  c.gets();
+  serves_one(one, c);
   {
     const Stopped stopped(w);
     c.asks("m2", "once", {0});
@@ -397,9 +402,7 @@
   Node one(1);
   w.ready();
   Client c;
-  c.asks("m1", "once", {0});
-  one.hits(one.reads(), "v");
-  c.gets();
+  serves_one(one, c);
   const auto first = std::move(one.peer);
   {
     const Stopped stopped(w);
