--- a/src/dispatch/in_flight_requests.cpp
+++ b/src/dispatch/in_flight_requests.cpp
@@ -36,11 +36,12 @@
 Request& InFlightRequests::add(std::unique_ptr<Request> added) {
   Request& request = *added;
   request.id = ++last_id_;
-  request.memory_bytes = request.body.size() + kShardRequestBytes * (1 + request.shard_requests.size());
+  std::size_t bytes = request.body.size() + kShardRequestBytes * (1 + request.shard_requests.size());
   for (auto& shard_request : request.shard_requests) {
-    request.memory_bytes += shard_request->body ? shard_request->body->size() : 0;
+    bytes += shard_request->body ? shard_request->body->size() : 0;
   }
-  memory_bytes_ += request.memory_bytes;
+  request.request_memory = MemoryReservation(memory_, MemoryUse::kRequests, bytes);
+  request.value_memory = MemoryReservation(memory_, MemoryUse::kAnswers);
   for (auto& shard_request : request.shard_requests) {
     shard_request->id = ++last_id_;
     shard_request->request = &request;
@@ -70,8 +71,8 @@
   if (outcome == AttemptOutcome::kOk && request.callbacks && !shard_request.value) {
     // Values must not grow without bound. A value that doesn't fit into any response counts as an error.
     const std::size_t size = result.value.size();
-    const bool fits =
-        request.value_bytes + size <= request.max_value_bytes && memory_bytes_ + size <= max_memory_bytes_;
+    const bool fits = request.value_memory.bytes() + size <= request.max_value_bytes &&
+                      memory_->limiter().admits_value(memory_->held_bytes(), size);
     const auto use = fits ? request.callbacks->on_value(shard_request, result.value)
                           : RequestCallbacks::ValueUse::kInvalid;
     if (use == RequestCallbacks::ValueUse::kInvalid) {
@@ -80,9 +81,7 @@
       shard_request.value.emplace();
     } else {
       shard_request.value = result.value;
-      request.value_bytes += size;
-      request.memory_bytes += size;
-      memory_bytes_ += size;
+      request.value_memory.add(size);
     }
   }
   attempt.outcome = outcome;
@@ -115,7 +114,6 @@
     }
   }
   for (const auto& shard_request : request.shard_requests) shard_requests_.erase(shard_request->id);
-  memory_bytes_ -= request.memory_bytes;
   requests_.erase(request.id);
 }
 
--- a/src/dispatch/in_flight_requests.h
+++ b/src/dispatch/in_flight_requests.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "dispatch/backend.h"
+#include "dispatch/client_memory.h"
 #include "dispatch/request.h"
 
 namespace cairnhub::dispatch {
@@ -13,10 +14,9 @@
 // Owns the requests from their arrival until their last attempt has ended.
 class InFlightRequests {
  public:
-  // @param memory_bytes memory limit of the process. Values are accepted only while requests in flight take
-  //                     less than half of the limit.
-  InFlightRequests(RequestPolicy& policy, std::size_t memory_bytes)
-      : policy_(policy), max_memory_bytes_(memory_bytes / 2) {}
+  // @param memory the account in which requests and their values are reserved
+  InFlightRequests(RequestPolicy& policy, std::shared_ptr<ClientMemory> memory)
+      : policy_(policy), memory_(std::move(memory)) {}
 
   Request& add(std::unique_ptr<Request> request);        // assigns ids to the request and its shard requests
   RequestId next_id() const { return last_id_ + 1; }     // the id that the next added request gets
@@ -26,14 +26,11 @@
   bool contains(const std::string& name) const { return names_.count(name) != 0; }
   // Returns the number of requests that await their response.
   std::size_t count() const { return names_.size(); }
-  std::size_t memory_bytes() const { return memory_bytes_; }  // approximate
-  // Returns whether new requests must be rejected, so that a flood of them can't exhaust the memory: requests
-  // in flight take a quarter of the memory limit. The rest is for values still to arrive, connections and the
-  // program. No attempt was sent for a request rejected on arrival, so that a retry is harmless.
-  bool is_full() const { return memory_bytes_ >= max_memory_bytes_ / 2; }
-  // Accounts for memory that a frontend holds beside the requests. @param before, after bytes before and
-  // after a change
-  void adjust_memory(std::size_t before, std::size_t after) { memory_bytes_ += after - before; }
+  // Returns whether new requests must be rejected, so that a flood of them can't exhaust the memory. No
+  // attempt was sent for a request rejected on arrival, so that a retry is harmless.
+  bool is_full() const { return memory_->is_full(); }
+  // Returns the account, in which frontends reserve what they hold beside the requests.
+  const std::shared_ptr<ClientMemory>& memory() const { return memory_; }
 
   // Records the attempt's result. The attempt may be destroyed when this returns.
   AttemptOutcome record_attempt_end(Attempt& attempt, const AttemptResult& result);
@@ -52,8 +49,7 @@
   void remove_if_done(Request& request);
 
   RequestPolicy& policy_;
-  std::size_t max_memory_bytes_;
-  std::size_t memory_bytes_ = 0;
+  std::shared_ptr<ClientMemory> memory_;
   RequestId last_id_ = 0;
   std::unordered_map<RequestId, std::unique_ptr<Request>> requests_;  // must not be iterated over
   std::unordered_map<RequestId, ShardRequest*> shard_requests_;
--- a/src/dispatch/request.h
+++ b/src/dispatch/request.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "dispatch/client_memory.h"
 #include "dispatch/traffic_account.h"
 #include "policy/request_policy.h"
 
@@ -81,9 +82,9 @@
   Time time_left = 0;
   Time arrived_at = 0;
   std::vector<std::unique_ptr<ShardRequest>> shard_requests;
-  std::size_t value_bytes = 0;
   std::size_t max_value_bytes = 65536;          // the most that a response in the platform's form holds
-  std::size_t memory_bytes = 0;                 // approximate
+  MemoryReservation request_memory;             // approximate
+  MemoryReservation value_memory;               // values kept with their shard requests
   std::unique_ptr<RequestCallbacks> callbacks;  // null once the request has ended
 };
 
--- a/src/dispatch/two_phase_runner.cpp
+++ b/src/dispatch/two_phase_runner.cpp
@@ -23,7 +23,7 @@
   std::unique_ptr<TwoPhaseCallbacks> callbacks;
   two_phase::QueryPlan plan;
   std::vector<Request*> round_requests;  // by round; null once ended
-  std::size_t memory_bytes = 0;          // as accounted for in the requests in flight
+  MemoryReservation memory;              // of the plan
   Time wakes_at = kNever;
   bool is_queued = false;
 };
@@ -144,7 +144,8 @@
                    is_client_retry,
                    std::move(callbacks),
                    two_phase::QueryPlan(state.planner, std::move(query), now()),
-                   {}});
+                   {},
+                   MemoryReservation(requests_.memory(), MemoryUse::kAnswers)});
   names_.insert(name);
   update_memory(*running);
   enqueue(*(running_[id] = std::move(running)));
@@ -158,8 +159,7 @@
 
 // The memory of plans counts towards the memory limit of the requests in flight.
 void TwoPhaseRunner::update_memory(RunningQuery& running) {
-  const std::size_t before = std::exchange(running.memory_bytes, running.plan.memory_bytes());
-  requests_.adjust_memory(before, running.memory_bytes);
+  running.memory.resize(running.plan.memory_bytes());
 }
 
 bool TwoPhaseRunner::advance_plans() {
@@ -242,7 +242,6 @@
   for (Request*& request : running.round_requests) {
     if (request) dispatcher_.abandon_request(std::exchange(request, nullptr)->id);
   }
-  requests_.adjust_memory(running.memory_bytes, 0);
 }
 
 void TwoPhaseRunner::abandon(QueryId id) {
--- a/src/frontend/http/http_server.cpp
+++ b/src/frontend/http/http_server.cpp
@@ -89,6 +89,27 @@
   return nullptr;
 }
 
+// A piece of a response's body, reserved until libevent has written its last byte or has closed the
+// connection.
+struct ResponsePiece {
+  std::string text;
+  dispatch::MemoryReservation memory;
+};
+
+void add_body(evbuffer* output, std::string text, const std::shared_ptr<dispatch::ClientMemory>& memory) {
+  if (text.empty()) return;
+  auto piece = std::make_unique<ResponsePiece>();
+  piece->text = std::move(text);
+  piece->memory =
+      dispatch::MemoryReservation(memory, dispatch::MemoryUse::kResponses, piece->text.capacity());
+  const auto free_piece = [](const void*, std::size_t, void* owned) {
+    delete static_cast<ResponsePiece*>(owned);
+  };
+  if (evbuffer_add_reference(output, piece->text.data(), piece->text.size(), free_piece, piece.get()) == 0) {
+    piece.release();  // owned by the buffer
+  }
+}
+
 }  // namespace
 
 // The state of one connection since it was accepted.
@@ -151,7 +172,7 @@
     // The bytes that follow an invalid request can't be trusted to begin another one.
     const bool is_last = client.server->closes_after_response(client) || (status >= 400 && status < 500);
     if (is_last) evhttp_add_header(headers, "Connection", "close");
-    evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
+    add_body(evhttp_request_get_output_buffer(request), std::move(body), client.server->memory_);
     evhttp_send_reply(request, status, nullptr, nullptr);
   }
 
@@ -168,7 +189,8 @@
 
 HttpServer::HttpServer(event_base* base, const std::string& listen_address, int pause_at_descriptor,
                        std::size_t max_idle, std::size_t max_incomplete_bytes,
-                       platform::RequestParser& request_parser, dispatch::RequestDispatcher& dispatcher)
+                       platform::RequestParser& request_parser, dispatch::RequestDispatcher& dispatcher,
+                       std::shared_ptr<dispatch::ClientMemory> memory)
     : base_(base),
       pause_at_descriptor_(pause_at_descriptor),
       max_idle_(max_idle),
@@ -180,7 +202,8 @@
                       if (!has_stopped_accepting_ && !is_paused_) evconnlistener_enable(listener_);
                     }),
       request_parser_(request_parser),
-      dispatcher_(dispatcher) {
+      dispatcher_(dispatcher),
+      memory_(std::move(memory)) {
   Address address;
   if (!parse_address(listen_address, address)) {
     throw std::runtime_error("configuration: listen is not an address");
--- a/src/frontend/http/http_server.h
+++ b/src/frontend/http/http_server.h
@@ -43,10 +43,11 @@
   // @param max_idle             limit of connections that had a request and have none in flight; beyond it
   //                             the connections idle longest are closed first
   // @param max_incomplete_bytes limit of the bytes of incomplete requests, over all connections
+  // @param memory               the account in which responses are reserved until they are written
   // @throws std::runtime_error if the address is invalid or can't be bound
   HttpServer(event_base* base, const std::string& listen_address, int pause_at_descriptor,
              std::size_t max_idle, std::size_t max_incomplete_bytes, platform::RequestParser& request_parser,
-             dispatch::RequestDispatcher& dispatcher);
+             dispatch::RequestDispatcher& dispatcher, std::shared_ptr<dispatch::ClientMemory> memory);
   ~HttpServer();
 
   // Makes health checks fail from now on.
@@ -102,6 +103,7 @@
   Timer resume_timer_;       // enables the listener again after a failed accept
   platform::RequestParser& request_parser_;
   dispatch::RequestDispatcher& dispatcher_;
+  std::shared_ptr<dispatch::ClientMemory> memory_;
   std::vector<Frontend*> frontends_;
   // Connections accepted in this turn of the loop; a reference is held until they get their ClientState.
   std::vector<bufferevent*> new_connections_;
--- a/src/frontend/opensearch/opensearch_frontend.cpp
+++ b/src/frontend/opensearch/opensearch_frontend.cpp
@@ -89,15 +89,18 @@
   std::vector<std::vector<std::string>> hits;  // for _mget: the raw hits by slot
   std::vector<bool> is_complete;               // by slot
   bool keeps_hits = false;
+  dispatch::MemoryReservation memory;  // of the outcomes
 
   void end_search(Slot slot, os::ApiResponse outcome, Time retry_after_time = 0) {
     outcomes[slot] = std::move(outcome);
+    memory.add(outcomes[slot].body.capacity());
     request_ids[slot] = 0;
     retry_after[slot] = retry_after_time;
     if (--unfinished == 0 && !is_abandoned) respond();
   }
   void respond() {
     const os::ApiResponse combined = combine(*this);
+    memory.add(combined.body.capacity());
     const Time retry_after_time = outcomes.size() == 1 ? retry_after[0] : 0;
     responder->respond(combined.status, frontend::platform::retry_after_text(retry_after_time), combined.body,
                        "application/json");
@@ -114,8 +117,8 @@
         slot_(slot),
         index_(index),
         search_(std::move(search)),
-        is_count_(is_count) {}
-  ~SearchCallbacks() override { frontend_.requests_.adjust_memory(answer_bytes_, 0); }
+        is_count_(is_count),
+        answer_memory_(frontend.requests_.memory(), dispatch::MemoryUse::kAnswers) {}
 
   ValueUse on_value(const dispatch::ShardRequest& shard_request, std::string_view value) override {
     auto answer = std::make_unique<os::ShardAnswer>();
@@ -126,9 +129,7 @@
       value_errors_[shard_request.shard] = error;
       return ValueUse::kInvalid;
     }
-    const std::size_t bytes_before = answer_bytes_;
-    answer_bytes_ += 2 * value.size();
-    frontend_.requests_.adjust_memory(bytes_before, answer_bytes_);
+    answer_memory_.add(2 * value.size());
     answers_[shard_request.shard] = std::move(answer);
     return ValueUse::kTaken;
   }
@@ -219,8 +220,8 @@
   const os::Search search_;
   std::map<int, std::unique_ptr<os::ShardAnswer>> answers_;  // by shard
   std::map<int, const char*> value_errors_;                  // by shard
-  std::size_t answer_bytes_ = 0;                             // approximate memory of the answers
   bool is_count_;
+  dispatch::MemoryReservation answer_memory_;  // approximate
 };
 
 OpenSearchFrontend::OpenSearchFrontend(std::vector<IndexDefinition> indices, const os::Limits& limits,
@@ -309,6 +310,7 @@
     std::unique_ptr<dispatch::Responder> responder, std::size_t slots,
     std::function<os::ApiResponse(ApiRequest&)> combine) {
   auto api_request = std::make_shared<ApiRequest>();
+  api_request->memory = dispatch::MemoryReservation(requests_.memory(), dispatch::MemoryUse::kResponses);
   api_request->responder = std::move(responder);
   api_request->combine = std::move(combine);
   api_request->outcomes.resize(slots);
--- a/src/frontend/opensearch/opensearch_frontend.h
+++ b/src/frontend/opensearch/opensearch_frontend.h
@@ -60,7 +60,7 @@
   const IndexDefinition* find_index(const std::string& name) const;
   void start_search(const std::shared_ptr<ApiRequest>& api_request, Slot slot, const IndexDefinition& index,
                     const cairnhub::opensearch::Search& search, const std::string& body, bool is_count);
-  static std::shared_ptr<ApiRequest> make_api_request(
+  std::shared_ptr<ApiRequest> make_api_request(
       std::unique_ptr<dispatch::Responder> responder, std::size_t slots,
       std::function<cairnhub::opensearch::ApiResponse(ApiRequest&)> combine);
   std::function<void()> abandon_function(const std::shared_ptr<ApiRequest>& api_request);
--- /dev/null
+++ b/src/policy/memory_limiter.h
@@ -0,0 +1,30 @@
+// Decides what the broker accepts by the memory that it holds for its clients, so that no load takes the
+// process past its memory limit.
+//
+// Inputs: bytes held for clients, from the first byte read of a request to the last byte written of its
+// response; the memory limit of the process, in bytes. Part of the limit is left for what isn't held for a
+// client: the program, its connections and the parsing of one message.
+#pragma once
+#include <cstddef>
+
+namespace cairnhub {
+
+// The rules. Keeps no state but the limits.
+class MemoryLimiter {
+ public:
+  explicit MemoryLimiter(std::size_t process_limit_bytes);
+
+  // Returns whether a new request may start. A request that is rejected here has made no attempt.
+  bool admits_request(std::size_t held_bytes) const { return held_bytes < max_request_bytes_; }
+  // Returns whether a value of this size may be kept for a request in flight. Its bound is higher than that
+  // of new requests, so that requests in flight can be completed.
+  bool admits_value(std::size_t held_bytes, std::size_t value_bytes) const;
+
+  std::size_t max_held_bytes() const { return max_held_bytes_; }
+
+ private:
+  std::size_t max_request_bytes_;
+  std::size_t max_held_bytes_;
+};
+
+}  // namespace cairnhub
--- a/src/server/broker.cpp
+++ b/src/server/broker.cpp
@@ -72,6 +72,7 @@
 
 struct Broker::Parts {
   const int class_count;  // request classes in the settings
+  const std::shared_ptr<dispatch::ClientMemory> memory;
   RequestPolicy policy;
   dispatch::InFlightRequests requests;
   backend::FramedClient framed_client;
@@ -94,8 +95,9 @@
 
   Parts(event_base* base, const dispatch::Config& initial, const BrokerOptions& options)
       : class_count(static_cast<int>(settings::request_classes(initial.settings).size())),
+        memory(std::make_shared<dispatch::ClientMemory>(initial.memory_bytes)),
         policy(initial.seed),
-        requests(policy, initial.memory_bytes),
+        requests(policy, memory),
         framed_client(
             base, framed_client_limits(initial),
             [this](dispatch::Attempt& attempt, const dispatch::AttemptResult& result) {
@@ -133,7 +135,7 @@
               }),
         http_server(base, initial.listen_address, accept_limit(initial),
                     initial.max_descriptors / kIdleClientDivisor,
-                    initial.memory_bytes / kIncompleteRequestDivisor, request_parser, dispatcher),
+                    initial.memory_bytes / kIncompleteRequestDivisor, request_parser, dispatcher, memory),
         config(initial),
         shutdown_timer(base, [this] { continue_shutdown(); }) {
     settings::apply(initial.settings, policy);
--- a/tests/mangled.cpp
+++ b/tests/mangled.cpp
@@ -90,7 +90,7 @@
     const auto s = settings::Settings::from_json(nlohmann::json::parse(kSettings));
     RequestPolicy d(1);
     settings::apply(s, d);
-    InFlightRequests book(d, 1 << 26);
+    InFlightRequests book(d, std::make_shared<ClientMemory>(1 << 26));
     backend::FramedClient client(
         base, {32, 1, kSecond, kSecond, 8}, [](Attempt&, const AttemptResult&) {}, [] {});
     RequestDispatcher route(
