--- a/src/backend/framed/framed_client.cpp
+++ b/src/backend/framed/framed_client.cpp
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "backend/buffer_memory.h"
 #include "backend/framed/frame_codec.h"
 #include "base/clock.h"
 #include "base/sockets.h"
@@ -58,10 +59,16 @@
     std::size_t bytes;
     dispatch::TrafficAccount account;
   };
+  explicit Connection(const std::shared_ptr<dispatch::ClientMemory>& memory)
+      : input_memory(memory, dispatch::MemoryUse::kReceived),
+        output_memory(memory, dispatch::MemoryUse::kRequests) {}
+
   FramedClient* client = nullptr;
   EndpointPool* pool = nullptr;
   Address address;
   bufferevent* bev = nullptr;
+  BufferMemory input_memory;
+  BufferMemory output_memory;
   bool is_connected = false;
   std::uint64_t buffered_bytes = 0;  // since the connection was opened
   std::uint64_t counted_bytes = 0;   // buffered bytes for which spans were added
@@ -111,6 +118,15 @@
     const short ready = ready_events(bufferevent_getfd(bev), POLLIN | POLLRDHUP);
     return (ready & kPeerClosed) == 0 && (expects_bytes || (ready & POLLIN) == 0);
   }
+  void attach_memory() {
+    input_memory.attach(bufferevent_get_input(bev));
+    output_memory.attach(bufferevent_get_output(bev));
+  }
+  void free_buffers() {
+    input_memory.detach(bufferevent_get_input(bev));
+    output_memory.detach(bufferevent_get_output(bev));
+    bufferevent_free(bev);
+  }
   std::uint64_t written_bytes() const {
     return buffered_bytes - evbuffer_get_length(bufferevent_get_output(bev));
   }
@@ -124,16 +140,18 @@
   std::vector<InFlightAttempt*> to_flush;
 };
 
-FramedClient::FramedClient(event_base* base, FramedClientLimits limits, AttemptEnded on_attempt_ended,
+FramedClient::FramedClient(event_base* base, FramedClientLimits limits,
+                           std::shared_ptr<dispatch::ClientMemory> memory, AttemptEnded on_attempt_ended,
                            std::function<void()> run_actions)
     : base_(base),
       limits_(limits),
+      memory_(std::move(memory)),
       on_attempt_ended_(std::move(on_attempt_ended)),
       run_actions_(std::move(run_actions)) {}
 
 FramedClient::~FramedClient() {
   for (auto& [id, pool] : pools_)
-    for (auto& connection : pool->connections) bufferevent_free(connection->bev);
+    for (auto& connection : pool->connections) connection->free_buffers();
 }
 
 void FramedClient::update_endpoint(EndpointId id, const std::string& name, const Address& address,
@@ -250,7 +268,7 @@
 }
 
 FramedClient::Connection* FramedClient::open_connection(EndpointPool& pool) {
-  auto owned = std::make_unique<Connection>();
+  auto owned = std::make_unique<Connection>(memory_);
   owned->client = this;
   owned->pool = &pool;
   owned->address = pool.address;
@@ -273,6 +291,7 @@
     bufferevent_free(connection->bev);
     return nullptr;
   }
+  connection->attach_memory();
   // Set only after connecting, so that an immediate failure isn't reported to a callback as well.
   bufferevent_setcb(
       connection->bev,
@@ -519,7 +538,7 @@
       byte_counter_({connection.pool->id, span.account,
                      -static_cast<long long>(std::min<std::uint64_t>(span.bytes, span.end_offset - written)),
                      0});
-  bufferevent_free(connection.bev);
+  connection.free_buffers();
   --open_connections_;
   std::erase_if(connection.pool->connections, [&](const auto& c) { return c.get() == &connection; });
 }
--- a/src/backend/framed/framed_client.h
+++ b/src/backend/framed/framed_client.h
@@ -25,10 +25,11 @@
 // batches.
 class FramedClient : public dispatch::Backend {
  public:
+  // @param memory the account in which the connections' buffers are reserved
   // @param on_attempt_ended called once for each attempt
   // @param run_actions called at the end of each event that may have ended attempts
-  FramedClient(event_base* base, FramedClientLimits limits, AttemptEnded on_attempt_ended,
-               std::function<void()> run_actions);
+  FramedClient(event_base* base, FramedClientLimits limits, std::shared_ptr<dispatch::ClientMemory> memory,
+               AttemptEnded on_attempt_ended, std::function<void()> run_actions);
   ~FramedClient() override;
 
   void update_endpoint(EndpointId id, const std::string& name, const Address& address,
@@ -65,6 +66,7 @@
 
   event_base* base_;
   FramedClientLimits limits_;
+  std::shared_ptr<dispatch::ClientMemory> memory_;
   AttemptEnded on_attempt_ended_;
   std::function<void()> run_actions_;
   std::size_t open_connections_ = 0;
--- a/src/backend/opensearch/search_client.cpp
+++ b/src/backend/opensearch/search_client.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "backend/buffer_memory.h"
 #include "base/clock.h"
 #include "base/sockets.h"
 
@@ -26,6 +27,10 @@
 };
 
 struct SearchClient::Connection {
+  explicit Connection(const std::shared_ptr<dispatch::ClientMemory>& memory)
+      : output_memory(memory, dispatch::MemoryUse::kRequests),
+        response_memory(memory, dispatch::MemoryUse::kReceived) {}
+
   SearchClient* client = nullptr;
   EndpointPool* pool = nullptr;
   evhttp_connection* http = nullptr;
@@ -33,8 +38,11 @@
   InFlightAttempt* in_flight = nullptr;
   // Bytes of the current request.
   std::size_t queued_bytes = 0, written_bytes = 0;
-  std::size_t received_bytes = 0;  // counted only if a byte counter is set
-  int error = -1;                  // evhttp_request_error, or -1
+  std::size_t received_bytes = 0;
+  BufferMemory output_memory;
+  dispatch::MemoryReservation response_memory;  // of the response, as far as it has been received
+  bool is_over_limit = false;                   // has received bytes while the memory was exhausted
+  int error = -1;                               // evhttp_request_error, or -1
   Time idle_since = 0;
 
   static void count_output(evbuffer*, const evbuffer_cb_info* info, void* context) {
@@ -43,7 +51,21 @@
     connection.written_bytes += info->n_deleted;
   }
   static void count_input(evbuffer*, const evbuffer_cb_info* info, void* context) {
-    static_cast<Connection*>(context)->received_bytes += info->n_added;
+    if (info->n_added == 0) return;
+    auto& connection = *static_cast<Connection*>(context);
+    connection.client->record_received(connection, info->n_added);
+  }
+  void attach() {
+    bufferevent* bev = evhttp_connection_get_bufferevent(http);
+    evbuffer_add_cb(bufferevent_get_output(bev), count_output, this);
+    evbuffer_add_cb(bufferevent_get_input(bev), count_input, this);
+    output_memory.attach(bufferevent_get_output(bev));
+  }
+  void detach() {
+    bufferevent* bev = evhttp_connection_get_bufferevent(http);
+    evbuffer_remove_cb(bufferevent_get_output(bev), count_output, this);
+    evbuffer_remove_cb(bufferevent_get_input(bev), count_input, this);
+    output_memory.detach(bufferevent_get_output(bev));
   }
   bool is_fully_written() const { return queued_bytes > 0 && written_bytes >= queued_bytes; }
   dispatch::WriteProgress write_progress() const {
@@ -62,30 +84,36 @@
   std::vector<InFlightAttempt*> to_flush;
 };
 
-SearchClient::SearchClient(event_base* base, SearchClientLimits limits, AttemptEnded on_attempt_ended,
+SearchClient::SearchClient(event_base* base, SearchClientLimits limits,
+                           std::shared_ptr<dispatch::ClientMemory> memory, AttemptEnded on_attempt_ended,
                            std::function<void()> run_actions)
     : base_(base),
       limits_(limits),
+      memory_(std::move(memory)),
       on_attempt_ended_(std::move(on_attempt_ended)),
       run_actions_(std::move(run_actions)),
-      cleanup_timer_(base, [this] {
-        for (auto& connection : std::exchange(closed_connections_, {}))
-          if (connection->http) evhttp_connection_free(connection->http);
-        const Time idle_limit = now() - limits_.idle_timeout;
-        bool has_connections = false;
-        for (auto& [id, pool] : pools_) {
-          std::erase_if(pool->connections, [&](const auto& connection) {
-            if (connection->in_flight || connection->idle_since > idle_limit) {
-              has_connections = true;
-              return false;
-            }
-            --open_connections_;
-            evhttp_connection_free(connection->http);
-            return true;
-          });
-        }
-        if (has_connections && !cleanup_timer_.pending()) cleanup_timer_.start(limits_.idle_timeout / 4 + 1);
-      }) {}
+      cleanup_timer_(base,
+                     [this] {
+                       for (auto& connection : std::exchange(closed_connections_, {}))
+                         if (connection->http) evhttp_connection_free(connection->http);
+                       const Time idle_limit = now() - limits_.idle_timeout;
+                       bool has_connections = false;
+                       for (auto& [id, pool] : pools_) {
+                         std::erase_if(pool->connections, [&](const auto& connection) {
+                           if (connection->in_flight || connection->idle_since > idle_limit) {
+                             has_connections = true;
+                             return false;
+                           }
+                           --open_connections_;
+                           connection->detach();
+                           evhttp_connection_free(connection->http);
+                           return true;
+                         });
+                       }
+                       if (has_connections && !cleanup_timer_.pending())
+                         cleanup_timer_.start(limits_.idle_timeout / 4 + 1);
+                     }),
+      over_limit_timer_(base, [this] { abort_over_limit(); }) {}
 
 SearchClient::~SearchClient() {
   for (auto& connection : closed_connections_)
@@ -93,6 +121,7 @@
   for (auto& [id, pool] : pools_)
     for (auto& connection : pool->connections) {
       if (connection->request) evhttp_cancel_request(connection->request);
+      connection->detach();
       evhttp_connection_free(connection->http);
     }
 }
@@ -181,7 +210,7 @@
   if (pool.connections.size() >= limits_.max_connections_per_endpoint ||
       open_connections_ >= limits_.max_connections)
     return nullptr;
-  auto connection = std::make_unique<Connection>();
+  auto connection = std::make_unique<Connection>(memory_);
   connection->http =
       evhttp_connection_base_bufferevent_new(base_, nullptr, nullptr, pool.host.c_str(), pool.port);
   if (!connection->http) return nullptr;
@@ -190,11 +219,7 @@
   evhttp_connection_set_max_headers_size(connection->http, kMaxHeaderBytes);
   evhttp_connection_set_max_body_size(connection->http, static_cast<ev_ssize_t>(limits_.max_body_bytes));
   evhttp_connection_set_retries(connection->http, 0);
-  evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(connection->http)),
-                  Connection::count_output, connection.get());
-  if (byte_counter_)
-    evbuffer_add_cb(bufferevent_get_input(evhttp_connection_get_bufferevent(connection->http)),
-                    Connection::count_input, connection.get());
+  connection->attach();
   ++open_connections_;
   pool.connections.push_back(std::move(connection));
   return pool.connections.back().get();
@@ -276,6 +301,30 @@
   start_waiting(pool);
 }
 
+void SearchClient::record_received(Connection& connection, std::size_t bytes) {
+  connection.received_bytes += bytes;
+  connection.response_memory.add(bytes);
+  if (memory_->admits_received()) return;
+  connection.is_over_limit = true;
+  // The connection can't be closed from within the read that calls this.
+  if (!std::exchange(is_over_limit_, true)) over_limit_timer_.start(0);
+}
+
+void SearchClient::abort_over_limit() {
+  is_over_limit_ = false;
+  std::vector<InFlightAttempt*> over_limit;
+  for (auto& [id, pool] : pools_)
+    for (auto& connection : pool->connections)
+      if (std::exchange(connection->is_over_limit, false) && connection->in_flight)
+        over_limit.push_back(connection->in_flight);
+  for (InFlightAttempt* in_flight : over_limit) {
+    if (memory_->admits_received()) break;
+    log("memory", "exhausted: the response of %s is not read further", in_flight->pool->name.c_str());
+    abort_attempt(*in_flight, dispatch::AttemptEnd::kNoMemory);
+  }
+  run_actions_();
+}
+
 void SearchClient::cancel(dispatch::Attempt& attempt) {
   const auto it = in_flight_.find(&attempt);
   if (it != in_flight_.end()) abort_attempt(*it->second, dispatch::AttemptEnd::kCancelled);
@@ -315,17 +364,19 @@
     in_flight.connection->idle_since = now();
     if (!cleanup_timer_.pending()) cleanup_timer_.start(limits_.idle_timeout / 4 + 1);
   }
+  Connection* connection = in_flight.connection;
   const auto kept = in_flight_.extract(in_flight.attempt);  // destroyed after the end is reported
   on_attempt_ended_(*in_flight.attempt, result);
+  if (connection) connection->response_memory.resize(0);
 }
 
 // Stops all reading and writing on a connection at once. The connection is freed later, outside libevent's
 // callbacks.
 void SearchClient::close_connection(Connection& connection) {
   if (connection.request) evhttp_cancel_request(std::exchange(connection.request, nullptr));
+  connection.detach();
+  connection.response_memory.resize(0);
   bufferevent* bev = evhttp_connection_get_bufferevent(connection.http);
-  evbuffer_remove_cb(bufferevent_get_output(bev), Connection::count_output, &connection);
-  if (byte_counter_) evbuffer_remove_cb(bufferevent_get_input(bev), Connection::count_input, &connection);
   bufferevent_disable(bev, EV_READ | EV_WRITE);
   if (const int fd = bufferevent_getfd(bev); fd >= 0) shutdown(fd, SHUT_RDWR);
   --open_connections_;
--- a/src/backend/opensearch/search_client.h
+++ b/src/backend/opensearch/search_client.h
@@ -9,6 +9,7 @@
 //                                        written
 //   head or body not HTTP, or too long   kInvalidResponse: may have run
 //   no complete response in time         kTimedOut: may have run only if the request's last byte was written
+//   memory exhausted as it is received   kNoMemory: may have run only if the request's last byte was written
 #pragma once
 #include <event2/util.h>
 
@@ -37,10 +38,11 @@
 // in use.
 class SearchClient : public dispatch::Backend {
  public:
+  // @param memory the account in which requests being written and responses being received are reserved
   // @param on_attempt_ended called once for each attempt
   // @param run_actions called at the end of each event that may have ended attempts
-  SearchClient(event_base* base, SearchClientLimits limits, AttemptEnded on_attempt_ended,
-               std::function<void()> run_actions);
+  SearchClient(event_base* base, SearchClientLimits limits, std::shared_ptr<dispatch::ClientMemory> memory,
+               AttemptEnded on_attempt_ended, std::function<void()> run_actions);
   ~SearchClient() override;
 
   void update_endpoint(EndpointId id, const std::string& name, const Address& address,
@@ -66,9 +68,13 @@
   void finish(InFlightAttempt& in_flight, const dispatch::AttemptResult& result);
   void close_connection(Connection& connection);
   void start_waiting(EndpointPool& pool);
+  void record_received(Connection& connection, std::size_t bytes);
+  // Ends attempts whose responses arrive while the memory is exhausted, until the rest fits.
+  void abort_over_limit();
 
   event_base* base_;
   SearchClientLimits limits_;
+  std::shared_ptr<dispatch::ClientMemory> memory_;
   AttemptEnded on_attempt_ended_;
   std::function<void()> run_actions_;
   std::size_t open_connections_ = 0;
@@ -77,6 +83,8 @@
   std::vector<EndpointPool*> pools_to_flush_;
   std::vector<std::unique_ptr<Connection>> closed_connections_;  // to be freed by the cleanup timer
   Timer cleanup_timer_;
+  bool is_over_limit_ = false;  // the timer below has been started
+  Timer over_limit_timer_;
 };
 
 // Passes each call to the backend that speaks the endpoint's protocol.
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -2,12 +2,14 @@
 
 #include <event2/event.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <functional>
 #include <memory>
 #include <stdexcept>
 
+#include "backend/framed/frame_codec.h"
 #include "base/log.h"
 #include "cluster/admin_api.h"
 #include "cluster/cluster_node.h"
@@ -72,6 +74,12 @@
   int replicas_;  // replicas of each shard
 };
 
+// Returns the most that one host's answer may take, over HTTP or in a frame.
+std::size_t max_answer_bytes(const options::Options& options) {
+  const std::size_t max_http_bytes = options.search ? options.search->max_response_bytes : 0;
+  return std::max(max_http_bytes, backend::framed::kMaxFrameBytes);
+}
+
 }  // namespace
 
 int serve(const std::string& config_path, const std::string& options_path) {
@@ -98,7 +106,7 @@
       }
       for (const auto& resolved : options::resolve_search_indices(options, config.settings)) {
         indices.push_back({resolved.index.name, resolved.index.first_shard, resolved.index.shard_count,
-                           resolved.class_index, resolved.index.timeout});
+                           resolved.class_index, resolved.index.timeout, max_answer_bytes(options)});
       }
       options::check_cluster(options, config.settings);
       if (options.cluster) {
@@ -139,8 +147,8 @@
     frontend::two_phase::TwoPhaseFrontend two_phase_front(broker.request_parser(), broker.two_phase_runner());
     if (!broker_options.two_phase_classes.empty()) broker.add_frontend(two_phase_front);
     const EndpointRegistryView endpoint_view(broker.endpoints(), config.settings);
-    frontend::opensearch::OpenSearchFrontend search_front(indices, search_limits, broker.in_flight_requests(),
-                                                          broker.dispatcher(), endpoint_view);
+    frontend::opensearch::OpenSearchFrontend search_front(
+        base, indices, search_limits, broker.in_flight_requests(), broker.dispatcher(), endpoint_view);
     if (!indices.empty()) broker.add_frontend(search_front);
     const auto shut_down = [&] {
       log("stop", "shutting down: finishing the requests in flight");
--- a/src/dispatch/backend.h
+++ b/src/dispatch/backend.h
@@ -23,6 +23,7 @@
   kInvalidResponse,  // the endpoint sent invalid data, so the broker closed the connection
   kTimedOut,
   kCancelled,
+  kNoMemory,  // the broker lacks the memory for the response, so it stopped reading
 };
 
 // The end of an attempt, as a backend reports it.
--- a/src/dispatch/client_memory.h
+++ b/src/dispatch/client_memory.h
@@ -13,10 +13,11 @@
 // What the memory is held for.
 enum class MemoryUse {
   kRequests,   // requests in flight: as read, parsed, and with their attempts
-  kAnswers,    // values from endpoints, received in part or waiting to be merged
+  kReceived,   // values from endpoints that are still incomplete
+  kAnswers,    // values from endpoints, until the response is made of them
   kResponses,  // responses that are complete or in part, until their last byte is written
 };
-constexpr std::size_t kMemoryUseCount = 3;
+constexpr std::size_t kMemoryUseCount = 4;
 
 // Counts the bytes by use, and logs how they are distributed whenever their sum reaches a new peak.
 class ClientMemory {
@@ -30,6 +31,10 @@
   std::size_t held_bytes() const { return held_bytes_; }
   std::size_t held_bytes(MemoryUse use) const { return bytes_by_use_[static_cast<std::size_t>(use)]; }
   const MemoryLimiter& limiter() const { return limiter_; }
+  // Returns whether more of incomplete values may be received.
+  bool admits_received() const {
+    return limiter_.admits_received(held_bytes_, held_bytes(MemoryUse::kReceived));
+  }
   // Returns whether new requests must be rejected.
   bool is_full() const { return !limiter_.admits_request(held_bytes_); }
 
--- a/src/dispatch/in_flight_requests.cpp
+++ b/src/dispatch/in_flight_requests.cpp
@@ -26,6 +26,7 @@
     case AttemptEnd::kTimedOut:
       return is_fully_written ? AttemptOutcome::kTimedOut : AttemptOutcome::kNotSent;
     case AttemptEnd::kCancelled:
+    case AttemptEnd::kNoMemory:
       return is_fully_written ? AttemptOutcome::kCancelled : AttemptOutcome::kNotSent;
   }
   return AttemptOutcome::kError;
@@ -68,34 +69,49 @@
   ShardRequest& shard_request = *attempt.shard_request;
   Request& request = *shard_request.request;
   AttemptOutcome outcome = outcome_of(result);
+  attempt.lacked_memory = result.end == AttemptEnd::kNoMemory;
   if (outcome == AttemptOutcome::kOk && request.callbacks && !shard_request.value) {
-    // Values must not grow without bound. A value that doesn't fit into any response counts as an error.
-    const std::size_t size = result.value.size();
-    const bool fits = request.value_memory.bytes() + size <= request.max_value_bytes &&
-                      memory_->limiter().admits_value(memory_->held_bytes(), size);
-    const auto use = fits ? request.callbacks->on_value(shard_request, result.value)
-                          : RequestCallbacks::ValueUse::kInvalid;
+    const auto use = offer_value(shard_request, result.value);
     if (use == RequestCallbacks::ValueUse::kInvalid) {
       outcome = AttemptOutcome::kError;
+    } else if (use == RequestCallbacks::ValueUse::kNoMemory) {
+      outcome = AttemptOutcome::kCancelled;
+      attempt.lacked_memory = true;
     } else if (use == RequestCallbacks::ValueUse::kTaken) {
       shard_request.value.emplace();
     } else {
       shard_request.value = result.value;
-      request.value_memory.add(size);
+      request.value_memory.add(result.value.size());
     }
   }
   attempt.outcome = outcome;
-  ended_attempts_.push_back({shard_request.id, attempt.index, outcome, now() - attempt.sent_at});
+  // Another attempt's response would take as much memory.
+  const bool is_final = outcome == AttemptOutcome::kOk || attempt.lacked_memory;
+  ended_attempts_.push_back({shard_request.id, attempt.index, outcome, now() - attempt.sent_at, is_final});
   remove_if_done(request);
   return outcome;
 }
 
+// Values must not grow without bound. A value that doesn't fit into any response counts as an error of the
+// endpoint; a lack of memory doesn't.
+RequestCallbacks::ValueUse InFlightRequests::offer_value(const ShardRequest& shard_request,
+                                                         std::string_view value) const {
+  const Request& request = *shard_request.request;
+  if (request.value_memory.bytes() + value.size() > request.max_value_bytes) {
+    return RequestCallbacks::ValueUse::kInvalid;
+  }
+  if (!memory_->limiter().admits_value(memory_->held_bytes(), value.size())) {
+    return RequestCallbacks::ValueUse::kNoMemory;
+  }
+  return request.callbacks->on_value(shard_request, value);
+}
+
 bool InFlightRequests::report_attempt_ends() {
   const auto ended_attempts = std::exchange(ended_attempts_, {});
   // The endpoints' load reports are left out: no decision uses them.
   for (const EndedAttempt& ended : ended_attempts) {
     policy_.attempt_ended(now(), ended.shard_request, ended.index, ended.outcome, ended.latency,
-                          ended.outcome == AttemptOutcome::kOk, {});
+                          ended.is_final, {});
   }
   return !ended_attempts.empty();
 }
--- a/src/dispatch/in_flight_requests.h
+++ b/src/dispatch/in_flight_requests.h
@@ -45,7 +45,9 @@
     int index;
     AttemptOutcome outcome;
     Time latency;
+    bool is_final;  // no further attempt may be made for the shard request
   };
+  RequestCallbacks::ValueUse offer_value(const ShardRequest& shard_request, std::string_view value) const;
   void remove_if_done(Request& request);
 
   RequestPolicy& policy_;
--- a/src/dispatch/request.h
+++ b/src/dispatch/request.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "dispatch/body_source.h"
 #include "dispatch/client_memory.h"
 #include "dispatch/traffic_account.h"
 #include "policy/request_policy.h"
@@ -25,6 +26,14 @@
   // @param content_type null: JSON for status 200, plain text for any other
   virtual void respond(int status, std::string_view retry_after, std::string body,
                        const char* content_type = nullptr) = 0;
+  // Sends a response with the pieces of `source`, each once the client has read those before it. A short body
+  // is sent whole, with its length. May be called once, in place of respond(). The source must live until the
+  // response is complete or the client has disconnected: the function that abandons the request is kept
+  // until then, and may own the source.
+  virtual void respond_in_pieces(int status, const char* content_type, BodySource& source) = 0;
+  // Pulls further pieces after the source had none. Does nothing before respond_in_pieces(), while pieces are
+  // being written, and once the client has disconnected. The request may be destroyed when this returns.
+  virtual void resume() = 0;
 };
 
 // Callbacks by which a frontend handles the values of a request and its end. One of on_response, on_rejected
@@ -36,6 +45,9 @@
     kKeep,     // the value is kept with its shard request
     kTaken,    // the callback has copied the parts of the value that it needs
     kInvalid,  // the attempt counts as failed; it may have run
+    // The broker can't keep the value. The attempt counts as cancelled; it may have run, and no other is
+    // made.
+    kNoMemory,
   };
   // Called with the value that an endpoint returned. May only record the value.
   virtual ValueUse on_value(const ShardRequest&, std::string_view) { return ValueUse::kKeep; }
@@ -55,6 +67,7 @@
   Time ended_at = 0;
   Time begins_by = kNever;  // latest time at which the attempt's writing may begin
   bool has_ended = false;
+  bool lacked_memory = false;                    // the broker had no memory for the value
   TrafficAccount account;                        // set only if bytes are counted
   AttemptOutcome outcome = AttemptOutcome::kOk;  // valid once has_ended is true
 };
--- a/src/dispatch/request_dispatcher.h
+++ b/src/dispatch/request_dispatcher.h
@@ -49,6 +49,9 @@
   void set_departure_check(std::function<void()> departure_check) {
     departure_check_ = std::move(departure_check);
   }
+  // Sets what clients are advised whose requests are rejected for lack of memory. 0: no advice.
+  void set_rejection_retry_after(Time retry_after) { rejection_retry_after_ = retry_after; }
+  Time rejection_retry_after() const { return rejection_retry_after_; }
   // Reports the request to the policy and carries out the actions that follow. @return the request's id
   RequestId start_request(std::unique_ptr<Request> request);
   void abandon_request(RequestId id);  // its client has gone
@@ -75,6 +78,7 @@
   RequestClassLimiter class_limiter_;  // used only with a cluster
   std::function<void()> departure_check_;
   Time departures_checked_at_ = 0;
+  Time rejection_retry_after_ = 0;
   bool is_running_ = false;
   std::uint32_t arrival_count_ = 0;
 };
--- a/src/dispatch/two_phase_runner.cpp
+++ b/src/dispatch/two_phase_runner.cpp
@@ -23,7 +23,8 @@
   std::unique_ptr<TwoPhaseCallbacks> callbacks;
   two_phase::QueryPlan plan;
   std::vector<Request*> round_requests;  // by round; null once ended
-  MemoryReservation memory;              // of the plan
+  MemoryReservation query_memory;
+  MemoryReservation plan_memory;  // of matches and details, and of the response made of them
   Time wakes_at = kNever;
   bool is_queued = false;
 };
@@ -136,6 +137,7 @@
                                             two_phase::Query query,
                                             std::unique_ptr<TwoPhaseCallbacks> callbacks) {
   const QueryId id = ++last_id_;
+  const std::size_t query_bytes = query.text.capacity() + query.blocks.capacity() * sizeof(query.blocks[0]);
   ClassState& state = *classes_.at(request_class);
   auto running = std::make_unique<RunningQuery>(
       RunningQuery{id,
@@ -145,6 +147,7 @@
                    std::move(callbacks),
                    two_phase::QueryPlan(state.planner, std::move(query), now()),
                    {},
+                   MemoryReservation(requests_.memory(), MemoryUse::kRequests, query_bytes),
                    MemoryReservation(requests_.memory(), MemoryUse::kAnswers)});
   names_.insert(name);
   update_memory(*running);
@@ -157,9 +160,9 @@
   if (!std::exchange(running.is_queued, true)) queue_.push_back(running.id);
 }
 
-// The memory of plans counts towards the memory limit of the requests in flight.
+// The plan's values are counted twice: their response is built while the plan is still held.
 void TwoPhaseRunner::update_memory(RunningQuery& running) {
-  running.memory.resize(running.plan.memory_bytes());
+  running.plan_memory.resize(2 * running.plan.memory_bytes());
 }
 
 bool TwoPhaseRunner::advance_plans() {
--- a/src/frontend/http/http_server.cpp
+++ b/src/frontend/http/http_server.cpp
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
+#include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
 #include <sys/ioctl.h>
@@ -40,6 +41,9 @@
 constexpr Time kEarlyBytesCheckInterval = 20 * kSecond / 1000;
 // Time limit from accepting to the first byte while the process shuts down.
 constexpr Time kFirstByteTimeoutClosing = 250 * kSecond / 1000;
+// A body in pieces that is at most this long is sent whole, with its length. A longer one is sent in chunks
+// of at least this size.
+constexpr std::size_t kMinChunkBytes = 65536;
 // While the process shuts down, pipelined requests are answered for this long before their connection is
 // closed.
 constexpr Time kPipelineTimeoutClosing = kSecond;
@@ -96,6 +100,12 @@
   dispatch::MemoryReservation memory;
 };
 
+// Keeps libevent from reading while a response is written: its time limit without a byte from the client
+// would close the connection of a client that takes long to read. libevent reads again after the response.
+void stop_reading(evhttp_connection* connection) {
+  bufferevent_disable(evhttp_connection_get_bufferevent(connection), EV_READ);
+}
+
 void add_body(evbuffer* output, std::string text, const std::shared_ptr<dispatch::ClientMemory>& memory) {
   if (text.empty()) return;
   auto piece = std::make_unique<ResponsePiece>();
@@ -114,6 +124,11 @@
 
 // The state of one connection since it was accepted.
 struct HttpServer::ClientState {
+  ClientState(HttpServer* accepting_server, evhttp_connection* accepted)
+      : server(accepting_server),
+        connection(accepted),
+        request_memory(accepting_server->memory_, dispatch::MemoryUse::kRequests) {}
+
   HttpServer* server;
   evhttp_connection* connection;
   event* departure = nullptr;         // active while a request is in flight
@@ -125,7 +140,8 @@
   Time request_began_at = 0;           // first byte of an incomplete request; 0: there is none
   bool has_early_bytes = false;        // bytes are unread at the socket while a request is in flight
   ArrivalTimes arrival_times = {};
-  std::size_t incomplete_bytes = 0;  // bytes of incomplete requests, in all buffers
+  std::size_t incomplete_bytes = 0;            // bytes of incomplete requests, in all buffers
+  dispatch::MemoryReservation request_memory;  // of the request in flight, as libevent keeps it
 
   void set_incomplete_bytes(std::size_t bytes) {
     server->incomplete_bytes_ += bytes - incomplete_bytes;
@@ -153,33 +169,147 @@
     if (client_ && client_->responder == this) client_->responder = nullptr;
   }
   void detach() { client_ = nullptr; }
-  void respond(int status, std::string_view retry_after, std::string body,
-               const char* content_type) override {
-    if (!client_) return;  // the client has disconnected
-    ClientState& client = *client_;
-    evhttp_request* request = std::exchange(client.request, nullptr);
-    client.abandon = nullptr;
-    event_del(client.departure);
-    client.has_early_bytes = false;
-    client.idle_since = now();
-    client.request_began_at = input_length(client.connection) > 0 ? client.idle_since : 0;
-    evkeyvalq* headers = evhttp_request_get_output_headers(request);
-    evhttp_add_header(headers, "Content-Type",
-                      content_type    ? content_type
-                      : status == 200 ? "application/json"
-                                      : "text/plain");
-    if (!retry_after.empty()) evhttp_add_header(headers, "Retry-After", std::string(retry_after).c_str());
-    // The bytes that follow an invalid request can't be trusted to begin another one.
-    const bool is_last = client.server->closes_after_response(client) || (status >= 400 && status < 500);
-    if (is_last) evhttp_add_header(headers, "Connection", "close");
-    add_body(evhttp_request_get_output_buffer(request), std::move(body), client.server->memory_);
-    evhttp_send_reply(request, status, nullptr, nullptr);
-  }
+  void respond(int status, std::string_view retry_after, std::string body, const char* content_type) override;
+  void respond_in_pieces(int status, const char* content_type, dispatch::BodySource& source) override;
+  void resume() override;
 
  private:
+  // Takes the request out of the connection's state, since its response is complete.
+  static evhttp_request* end_request(ClientState& client);
+  static void add_headers(const ClientState& client, evhttp_request* request, int status,
+                          std::string_view retry_after, const char* content_type);
+  void take_piece(std::string piece);
+  void begin_chunks();
+  void write_chunk();
+  void finish();
+  static void on_chunk_written(evhttp_connection* connection, void* context);
+
   ClientState* client_;
+  // The rest is of a response in pieces.
+  dispatch::BodySource* source_ = nullptr;  // null: not in pieces, or complete
+  int status_ = 0;
+  const char* content_type_ = nullptr;
+  std::string unsent_;  // pieces that have not been passed to libevent
+  dispatch::MemoryReservation unsent_memory_;
+  bool has_begun_ = false;  // the head has been passed to libevent
+  bool is_writing_ = false;
 };
 
+evhttp_request* HttpServer::ConnectionResponder::end_request(ClientState& client) {
+  evhttp_request* request = std::exchange(client.request, nullptr);
+  event_del(client.departure);
+  client.has_early_bytes = false;
+  client.idle_since = now();
+  client.request_began_at = input_length(client.connection) > 0 ? client.idle_since : 0;
+  client.request_memory.resize(0);
+  return request;
+}
+
+void HttpServer::ConnectionResponder::add_headers(const ClientState& client, evhttp_request* request,
+                                                  int status, std::string_view retry_after,
+                                                  const char* content_type) {
+  evkeyvalq* headers = evhttp_request_get_output_headers(request);
+  evhttp_add_header(headers, "Content-Type",
+                    content_type    ? content_type
+                    : status == 200 ? "application/json"
+                                    : "text/plain");
+  if (!retry_after.empty()) evhttp_add_header(headers, "Retry-After", std::string(retry_after).c_str());
+  // The bytes that follow an invalid request can't be trusted to begin another one.
+  const bool is_last = client.server->closes_after_response(client) || (status >= 400 && status < 500);
+  if (is_last) evhttp_add_header(headers, "Connection", "close");
+}
+
+void HttpServer::ConnectionResponder::respond(int status, std::string_view retry_after, std::string body,
+                                              const char* content_type) {
+  if (!client_) return;  // the client has disconnected
+  ClientState& client = *client_;
+  const auto kept = std::exchange(client.abandon, nullptr);  // may own this responder
+  evhttp_request* request = end_request(client);
+  add_headers(client, request, status, retry_after, content_type);
+  add_body(evhttp_request_get_output_buffer(request), std::move(body), client.server->memory_);
+  evhttp_send_reply(request, status, nullptr, nullptr);
+}
+
+void HttpServer::ConnectionResponder::respond_in_pieces(int status, const char* content_type,
+                                                        dispatch::BodySource& source) {
+  if (!client_) return;  // the client has disconnected
+  source_ = &source;
+  status_ = status;
+  content_type_ = content_type;
+  unsent_memory_ = dispatch::MemoryReservation(client_->server->memory_, dispatch::MemoryUse::kResponses);
+  resume();
+}
+
+void HttpServer::ConnectionResponder::resume() {
+  if (!client_ || !source_ || is_writing_) return;
+  while (unsent_.size() < kMinChunkBytes) {
+    std::string piece;
+    const auto state = source_->next_piece(piece);
+    if (state == dispatch::BodySource::State::kComplete) return finish();
+    if (state == dispatch::BodySource::State::kWaiting) {
+      if (has_begun_ && !unsent_.empty()) write_chunk();
+      return;
+    }
+    take_piece(std::move(piece));
+  }
+  write_chunk();
+}
+
+void HttpServer::ConnectionResponder::take_piece(std::string piece) {
+  if (unsent_.empty()) {
+    unsent_ = std::move(piece);
+  } else {
+    unsent_ += piece;
+  }
+  unsent_memory_.resize(unsent_.capacity());
+}
+
+void HttpServer::ConnectionResponder::begin_chunks() {
+  has_begun_ = true;
+  evhttp_request* request = client_->request;
+  add_headers(*client_, request, status_, "", content_type_);
+  // HTTP/1.0 has no chunks: there the end of the connection is the end of the body.
+  const bool has_chunks = request->major > 1 || (request->major == 1 && request->minor >= 1);
+  if (!has_chunks) evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
+  evhttp_send_reply_start(request, status_, nullptr);
+}
+
+void HttpServer::ConnectionResponder::write_chunk() {
+  if (!has_begun_) begin_chunks();
+  is_writing_ = true;
+  evbuffer* chunk = evbuffer_new();
+  add_body(chunk, std::exchange(unsent_, {}), client_->server->memory_);
+  unsent_memory_.resize(0);
+  evhttp_send_reply_chunk_with_cb(client_->request, chunk, on_chunk_written, client_);
+  evbuffer_free(chunk);
+  stop_reading(client_->connection);
+}
+
+void HttpServer::ConnectionResponder::on_chunk_written(evhttp_connection*, void* context) {
+  guarded("response", [&client = *static_cast<ClientState*>(context)] {
+    const auto kept = client.abandon;  // may own the responder and its source
+    if (!client.responder || !client.responder->source_) return;
+    client.responder->is_writing_ = false;
+    client.responder->source_->on_written();
+    if (client.responder) client.responder->resume();
+  });
+}
+
+void HttpServer::ConnectionResponder::finish() {
+  source_ = nullptr;
+  if (!has_begun_) return respond(status_, "", std::exchange(unsent_, {}), content_type_);
+  if (!unsent_.empty()) write_chunk();
+  ClientState& client = *client_;
+  const auto kept = std::exchange(client.abandon, nullptr);  // may own this responder
+  evhttp_request* request = end_request(client);
+  // The shutdown may have begun since the head was sent.
+  if (client.server->closes_after_response(client)) {
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
+  }
+  evhttp_send_reply_end(request);
+  stop_reading(client.connection);
+}
+
 HttpServer::ClientState::~ClientState() {
   if (responder) responder->detach();
   if (departure) event_free(departure);
@@ -275,7 +405,7 @@
 HttpServer::ClientState& HttpServer::client_of(evhttp_connection* connection) {
   auto& slot = clients_[connection];
   if (slot) return *slot;
-  slot = std::make_unique<ClientState>(ClientState{this, connection});
+  slot = std::make_unique<ClientState>(this, connection);
   evhttp_connection_set_closecb(
       connection,
       [](evhttp_connection* closed, void* context) {
@@ -411,7 +541,10 @@
   client.request = http_request;
   client.has_sent_request = true;
   client.request_began_at = 0;
-  client.set_incomplete_bytes(input_length(client.connection));
+  const std::size_t unparsed_bytes = input_length(client.connection);
+  const std::size_t request_bytes =
+      client.incomplete_bytes - std::min(client.incomplete_bytes, unparsed_bytes);
+  client.set_incomplete_bytes(unparsed_bytes);
   const Time waited = waiting_time(client);
   watch_for_departure(client);
   // No attempt may be sent for a client that has disconnected. The departure event closes the connection.
@@ -466,7 +599,11 @@
     const RequestId id = request_parser_.start_request(request, std::move(responder));
     abandon = [this, id] { dispatcher_.abandon_request(id); };
   }
-  if (client.request) client.abandon = std::move(abandon);  // null request: the response has been sent
+  if (!client.request) return;  // the response has been sent
+  client.abandon = std::move(abandon);
+  // The frontend has copied what it needs of the body. libevent keeps the head until the response is written.
+  evbuffer_drain(body, body_length);
+  client.request_memory.resize(request_bytes - std::min(request_bytes, body_length));
 }
 
 // Watches the socket for the client's disconnection, which evhttp doesn't notice because it doesn't read
@@ -529,8 +666,11 @@
   const auto it = clients_.find(connection);
   if (it == clients_.end()) return;
   const auto abandon = std::move(it->second->abandon);
+  evhttp_request* request = it->second->request;
   clients_.erase(it);
   if (abandon) abandon();
+  // libevent gives up a request whose connection failed before its response was complete.
+  if (request && !evhttp_request_get_connection(request)) evhttp_request_free(request);
 }
 
 void HttpServer::close_after_responses() { closes_after_responses_ = true; }
--- a/src/frontend/platform/request_parser.cpp
+++ b/src/frontend/platform/request_parser.cpp
@@ -52,7 +52,7 @@
     return 0;
   }
   if (is_full()) {
-    responder->respond(503, "", "too many in hand\n");
+    responder->respond(503, retry_after_text(dispatcher_.rejection_retry_after()), "too many in hand\n");
     return 0;
   }
   request->callbacks = make_request_callbacks(std::move(responder));
--- a/src/frontend/platform/request_parser.h
+++ b/src/frontend/platform/request_parser.h
@@ -46,6 +46,8 @@
   const char* parse_shard_requests(const nlohmann::json& body, dispatch::Request& request) const;
   // Returns whether new requests must be rejected because the requests in flight take too much memory.
   bool is_full() const { return requests_.is_full(); }
+  // Returns what clients are advised whose requests are rejected so. 0: no advice
+  Time rejection_retry_after() const { return dispatcher_.rejection_retry_after(); }
   // Returns the HTTP status for an error that parse_head() or parse_shard_requests() returned.
   static int status_of(const char* error);
 
--- a/src/frontend/two_phase/two_phase_frontend.cpp
+++ b/src/frontend/two_phase/two_phase_frontend.cpp
@@ -40,6 +40,7 @@
     }
     head["match"]["versions"] = std::move(versions);
     std::string body = head.dump();
+    body.reserve(body.size() + plan.memory_bytes());
     body.back() = ',';
     body += "\"stalls\":[";
     bool is_first = true;
@@ -120,7 +121,8 @@
              !error.empty()) {
     responder->respond(400, "", error + "\n");
   } else if (request_parser_.is_full()) {
-    responder->respond(503, "", "too many in hand\n");
+    responder->respond(503, frontend::platform::retry_after_text(request_parser_.rejection_retry_after()),
+                       "too many in hand\n");
   } else {
     query.time_left = request.time_left;
     return runner_.start(request.name, request.request_class, request.is_client_retry, std::move(query),
--- a/src/opensearch/answer.cpp
+++ b/src/opensearch/answer.cpp
@@ -217,6 +217,12 @@
 
 }  // namespace
 
+std::size_t ShardAnswer::memory_bytes() const {
+  std::size_t total_bytes = bytes.capacity() + hits.capacity() * sizeof(Hit);
+  for (const Hit& hit : hits) total_bytes += hit.id.capacity() + opensearch::memory_bytes(hit.sort);
+  return total_bytes + opensearch::memory_bytes(aggregations);
+}
+
 int compare_hits(const Search& search, const Hit& a, const Hit& b) {
   if (search.sort.empty()) return a.score > b.score ? -1 : a.score < b.score ? 1 : 0;
   for (std::size_t i = 0; i < search.sort.size(); ++i) {
--- a/src/opensearch/answer.h
+++ b/src/opensearch/answer.h
@@ -22,6 +22,8 @@
   std::uint64_t total = 0;
   bool is_total_exact = true;
   json aggregations = json::object();
+
+  std::size_t memory_bytes() const;  // approximate
 };
 
 // Parses `value`, the answer of the shard with the number `shard` within `index`. Returns null, or the reason
--- a/src/opensearch/json.cpp
+++ b/src/opensearch/json.cpp
@@ -87,4 +87,22 @@
   return builder.error;
 }
 
+std::string json_text(const json& document) {
+  return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::size_t memory_bytes(const json& document) {
+  std::size_t bytes = 0;
+  if (document.is_string()) {
+    bytes = sizeof(std::string) + document.get_ref<const std::string&>().capacity();
+  } else if (document.is_array()) {
+    bytes = sizeof(json::array_t) + document.size() * sizeof(json);
+    for (const json& element : document) bytes += memory_bytes(element);
+  } else if (document.is_object()) {
+    bytes = sizeof(json::object_t) + document.size() * sizeof(json::object_t::value_type);
+    for (const auto& [key, value] : document.items()) bytes += key.capacity() + memory_bytes(value);
+  }
+  return bytes;
+}
+
 }  // namespace cairnhub::opensearch
--- a/src/opensearch/json.h
+++ b/src/opensearch/json.h
@@ -2,6 +2,7 @@
 // numbers that a double can't represent and invalid UTF-8. No I/O.
 #pragma once
 #include <nlohmann/json.hpp>
+#include <string>
 #include <string_view>
 
 namespace cairnhub::opensearch {
@@ -17,4 +18,10 @@
 const char* parse_json(std::string_view text, json& into, int max_depth = kMaxJsonDepth,
                        std::size_t max_values = kMaxJsonValues);
 
+// Returns the text of a document; invalid UTF-8 is replaced.
+std::string json_text(const json& document);
+
+// Returns the memory that a parsed document takes beside the object itself, approximately.
+std::size_t memory_bytes(const json& document);
+
 }  // namespace cairnhub::opensearch
--- a/src/opensearch/response.cpp
+++ b/src/opensearch/response.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 
-std::string json_text(const json& value) {
-  return value.dump(-1, ' ', false, json::error_handler_t::replace);
-}
+// Room for what follows the hits of a search without aggregations.
+constexpr std::size_t kTailBytes = 32;
+// An error shows at most this much of a name that a client sent.
+constexpr std::size_t kMaxShownNameBytes = 80;
 
 json failure_reason(const ShardFailure& failure) {
   const auto reason_object = [](const char* type, const std::string& reason) {
@@ -29,6 +30,8 @@
       return reason_object("remote_transport_exception", "the node answered with an error");
     case ShardFailure::Kind::kInvalidAnswer:
       return reason_object("parsing_exception", "the node's answer can't be used: " + failure.detail);
+    case ShardFailure::Kind::kNoMemory:
+      return reason_object("circuit_breaking_exception", "no memory for the node's answer");
   }
   return nullptr;
 }
@@ -97,6 +100,9 @@
   std::string hits_text = json_text(hits);
   hits_text.pop_back();
   body += ",\"hits\":" + hits_text + ",\"hits\":[";
+  std::size_t page_bytes = 0;
+  for (const auto& ranked : merged.page) page_bytes += ranked.hit->raw.size() + 1;
+  body.reserve(body.size() + page_bytes + kTailBytes);
   for (std::size_t i = 0; i < merged.page.size(); ++i) {
     body += i ? "," : "";
     body += merged.page[i].hit->raw;
@@ -121,6 +127,10 @@
   return phase_failed_response(shards, "all shards failed");
 }
 
+ApiError index_not_found(const std::string& index) {
+  return {404, "index_not_found_exception", "no such index [" + index.substr(0, kMaxShownNameBytes) + "]"};
+}
+
 ApiResponse error_response(const ApiError& error) { return {error.status, error_body(error)}; }
 
 }  // namespace cairnhub::opensearch
--- a/src/opensearch/response.h
+++ b/src/opensearch/response.h
@@ -22,6 +22,7 @@
     kTimedOut,       // the search may have run or may still run
     kError,          // reported by the endpoint; the search may have run
     kInvalidAnswer,  // the search ran
+    kNoMemory,       // the broker had no memory for the answer; the search may have run
   } kind = Kind::kNoReplica;
   std::string detail;  // for kInvalidAnswer: why the answer is invalid
 };
@@ -48,6 +49,7 @@
 ApiResponse too_many_requests_response();
 // Status 503: there is nothing that may be returned.
 ApiResponse all_shards_failed_response(const ShardSummary& shards);
+ApiError index_not_found(const std::string& index);
 ApiResponse error_response(const ApiError& error);
 
 }  // namespace cairnhub::opensearch
--- a/src/policy/memory_limiter.h
+++ b/src/policy/memory_limiter.h
@@ -20,10 +20,17 @@
   // of new requests, so that requests in flight can be completed.
   bool admits_value(std::size_t held_bytes, std::size_t value_bytes) const;
 
-  std::size_t max_held_bytes() const { return max_held_bytes_; }
+  // Returns whether more may be received of values that are still incomplete.
+  // @param received_bytes bytes of incomplete values, which are part of the held bytes
+  bool admits_received(std::size_t held_bytes, std::size_t received_bytes) const;
+  // Returns the bound up to which a request that holds many searches starts further ones. It is lower than
+  // that of new requests, so that such a request leaves room for others.
+  std::size_t max_batch_bytes() const { return max_batch_bytes_; }
 
  private:
+  std::size_t max_batch_bytes_;
   std::size_t max_request_bytes_;
+  std::size_t max_received_bytes_;
   std::size_t max_held_bytes_;
 };
 
--- a/src/server/broker.cpp
+++ b/src/server/broker.cpp
@@ -99,13 +99,13 @@
         policy(initial.seed),
         requests(policy, memory),
         framed_client(
-            base, framed_client_limits(initial),
+            base, framed_client_limits(initial), memory,
             [this](dispatch::Attempt& attempt, const dispatch::AttemptResult& result) {
               record_attempt_end(attempt, result);
             },
             [this] { dispatcher.run_actions(); }),
         search_client(
-            base, search_client_limits(initial, options),
+            base, search_client_limits(initial, options), memory,
             [this](dispatch::Attempt& attempt, const dispatch::AttemptResult& result) {
               record_attempt_end(attempt, result);
             },
@@ -139,6 +139,10 @@
         config(initial),
         shutdown_timer(base, [this] { continue_shutdown(); }) {
     settings::apply(initial.settings, policy);
+    const Time retry_after = initial.settings.flag("ceilings.retry-after", false)
+                                 ? initial.settings.duration("ceilings.max-retry-after", 0)
+                                 : 0;
+    dispatcher.set_rejection_retry_after(retry_after);
     dispatcher.set_departure_check([this] { http_server.abandon_departed(); });
     backends.set_before_write([this] {
       dispatcher.refresh_cluster_rules();
@@ -147,9 +151,6 @@
     if (options.cluster_control) {
       cluster = options.cluster_control;
       registry.set_cluster_control(*options.cluster_control);
-      const Time retry_after = initial.settings.flag("ceilings.retry-after", false)
-                                   ? initial.settings.duration("ceilings.max-retry-after", 0)
-                                   : 0;
       backends.set_byte_counter([this](const dispatch::TransferredBytes& bytes) { record_bytes(bytes); });
       dispatcher.set_cluster_control(
           *options.cluster_control,
--- a/tests/mangled.cpp
+++ b/tests/mangled.cpp
@@ -52,6 +52,8 @@
 
 struct Silent : Responder {
   void respond(int, std::string_view, std::string, const char*) override {}
+  void respond_in_pieces(int, const char*, BodySource&) override {}
+  void resume() override {}
 };
 
 const std::string kSettings =
@@ -90,9 +92,10 @@
     const auto s = settings::Settings::from_json(nlohmann::json::parse(kSettings));
     RequestPolicy d(1);
     settings::apply(s, d);
-    InFlightRequests book(d, std::make_shared<ClientMemory>(1 << 26));
+    const auto memory = std::make_shared<ClientMemory>(1 << 26);
+    InFlightRequests book(d, memory);
     backend::FramedClient client(
-        base, {32, 1, kSecond, kSecond, 8}, [](Attempt&, const AttemptResult&) {}, [] {});
+        base, {32, 1, kSecond, kSecond, 8}, memory, [](Attempt&, const AttemptResult&) {}, [] {});
     RequestDispatcher route(
         base, d, book, client, [](EndpointId) {}, [] { return false; });
     frontend::platform::RequestParser parser(s, book, route);
--- a/tests/stand_ins/client.h
+++ b/tests/stand_ins/client.h
@@ -35,6 +35,7 @@
       const auto end = peer.in.find("\r\n\r\n");
       if (end != std::string::npos) {
         const std::string head = peer.in.substr(0, end);
+        if (head.find("\r\nTransfer-Encoding: chunked") != std::string::npos) return reads_chunks(end + 4);
         const auto at = head.find("Content-Length: ");
         const std::size_t n = at == std::string::npos ? 0 : std::stoul(head.substr(at + 16));
         if (peer.in.size() >= end + 4 + n) {
@@ -50,6 +51,27 @@
       if (!peer.more()) return "connection ended";
     }
   }
+  // A response in chunks, whose body begins at this byte: status and body, as reads() gives them.
+  std::string reads_chunks(std::size_t body_begin) {
+    std::string out = peer.take(body_begin).substr(9, 3) + " ";
+    for (;;) {
+      auto line_end = peer.in.find("\r\n");
+      while (line_end == std::string::npos) {
+        if (!peer.more()) return "connection ended";
+        line_end = peer.in.find("\r\n");
+      }
+      const std::size_t length = std::stoul(peer.in.substr(0, line_end), nullptr, 16);
+      const std::size_t chunk_end = line_end + 2 + length + 2;
+      while (peer.in.size() < chunk_end) {
+        if (!peer.more()) return "connection ended";
+      }
+      out += peer.take(chunk_end).substr(line_end + 2, length);
+      if (length == 0) break;
+    }
+    for (char& c : out)
+      if (c == '\n') c = ' ';
+    return out;
+  }
   // A two-phase multiget; `more`: further members of its body.
   void asks_in_two(const std::string& name, const std::string& op, const std::vector<int>& shards,
                    const std::string& query, const std::string& more = "", const char* left = "5") {
--- /dev/null
+++ b/tests/stand_ins/large_answer_host.cpp
@@ -0,0 +1,153 @@
+#include "stand_ins/large_answer_host.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cairnhub::stand_ins {
+
+namespace {
+
+using json = nlohmann::ordered_json;
+
+constexpr int kDocuments = 10;  // as many as a search asks for by default
+
+// Reads one request with a length. @return false at the end of the connection
+bool read_request(Peer& peer, std::string& head, std::string& body) {
+  const std::string kLength = "Content-Length: ";
+  for (;;) {
+    const auto head_end = peer.in.find("\r\n\r\n");
+    if (head_end != std::string::npos) {
+      const auto stated = peer.in.find(kLength);
+      const std::size_t length = stated < head_end ? std::stoul(peer.in.substr(stated + kLength.size())) : 0;
+      if (peer.in.size() >= head_end + 4 + length) {
+        head = peer.take(head_end + 4);
+        body = peer.take(length);
+        return true;
+      }
+    }
+    char some[16384];
+    const ssize_t n = recv(peer.fd, some, sizeof some, 0);
+    if (n <= 0) return false;
+    peer.in.append(some, static_cast<std::size_t>(n));
+  }
+}
+
+bool send_all(int fd, const std::string& bytes) {
+  for (std::size_t sent = 0; sent < bytes.size();) {
+    const ssize_t n = send(fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+    if (n <= 0) return false;
+    sent += static_cast<std::size_t>(n);
+  }
+  return true;
+}
+
+std::vector<std::string> ids_of(int block, const std::string& search) {
+  const std::string prefix = "s" + std::to_string(block) + "-";
+  const json parsed = json::parse(search, nullptr, false);
+  std::vector<std::string> ids;
+  if (parsed.is_object() && parsed.contains("query") && parsed["query"].contains("ids")) {
+    for (const json& id : parsed["query"]["ids"]["values"]) {
+      if (id.get<std::string>().rfind(prefix, 0) == 0) ids.push_back(id);
+    }
+    return ids;
+  }
+  for (int i = 0; i < kDocuments; ++i) ids.push_back(prefix + std::to_string(i));
+  return ids;
+}
+
+}  // namespace
+
+LargeAnswerHost::LargeAnswerHost(int number, std::size_t document_bytes)
+    : filler_(document_bytes, 'x'), door_(kNode + number, 1024) {
+  threads_.emplace_back([this] { accept_connections(); });
+}
+
+LargeAnswerHost::~LargeAnswerHost() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    is_ending_ = true;
+    for (const int fd : connections_) shutdown(fd, SHUT_RDWR);
+  }
+  changed_.notify_all();
+  shutdown(door_.fd, SHUT_RDWR);
+  threads_.front().join();
+  for (std::size_t i = 1; i < threads_.size(); ++i) threads_[i].join();
+  for (const int fd : connections_) close(fd);
+}
+
+void LargeAnswerHost::accept_connections() {
+  for (;;) {
+    const int fd = accept4(door_.fd, nullptr, nullptr, SOCK_CLOEXEC);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (is_ending_) {
+      if (fd >= 0) close(fd);
+      return;
+    }
+    if (fd < 0) continue;
+    connections_.push_back(fd);
+    threads_.emplace_back([this, fd] { serve(fd); });
+  }
+}
+
+void LargeAnswerHost::serve(int fd) {
+  Peer peer(fd);
+  std::string head, body;
+  const std::string kShard = "_shards:";
+  while (read_request(peer, head, body)) {
+    const int block = std::atoi(head.c_str() + head.find(kShard) + kShard.size());
+    const std::string text = answer(block, body);
+    if (!await_turn() ||
+        !send_all(fd, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
+                          std::to_string(text.size()) + "\r\n\r\n" + text)) {
+      break;
+    }
+  }
+  shutdown(fd, SHUT_RDWR);
+  peer.fd = -1;  // closed by the destructor, so that the number isn't used again before
+}
+
+bool LargeAnswerHost::await_turn() {
+  std::unique_lock<std::mutex> lock(mutex_);
+  const int number = ++asked_;
+  const auto is_held = [&] {
+    return (held_from_ != 0 && number >= held_from_) || (held_only_ != 0 && number == held_only_);
+  };
+  changed_.wait(lock, [&] { return is_ending_ || !is_held(); });
+  return !is_ending_;
+}
+
+void LargeAnswerHost::hold_from(int count) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  held_from_ = count;
+}
+void LargeAnswerHost::hold_only(int number) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  held_only_ = number;
+}
+void LargeAnswerHost::release() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    held_from_ = 0;
+    held_only_ = 0;
+  }
+  changed_.notify_all();
+}
+int LargeAnswerHost::asked() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return asked_;
+}
+
+std::string LargeAnswerHost::answer(int block, const std::string& search) const {
+  const std::string shard = "[register][" + std::to_string(block) + "]";
+  const std::vector<std::string> ids = ids_of(block, search);
+  std::string hits;
+  for (const std::string& id : ids) {
+    if (!hits.empty()) hits += ",";
+    hits += R"({"_index":"register","_id":")" + id + R"(","_score":1.0,"_shard":")" + shard +
+            R"(","_source":{"text":")" + filler_ + R"("}})";
+  }
+  return R"({"took":1,"timed_out":false,"_shard":")" + shard +
+         R"(","_shards":{"total":1,"successful":1,"skipped":0,"failed":0},"hits":{"total":{"value":)" +
+         std::to_string(ids.size()) + R"(,"relation":"eq"},"max_score":1.0,"hits":[)" + hits + "]}}";
+}
+
+}  // namespace cairnhub::stand_ins
