--- a/src/frontend/http/http_server.cpp
+++ b/src/frontend/http/http_server.cpp
@@ -116,7 +116,7 @@
     delete static_cast<ResponsePiece*>(owned);
   };
   if (evbuffer_add_reference(output, piece->text.data(), piece->text.size(), free_piece, piece.get()) == 0) {
-    piece.release();  // owned by the buffer
+    static_cast<void>(piece.release());  // owned by the buffer
   }
 }
 
