--- a/src/frontend/opensearch/multi_get.cpp
+++ b/src/frontend/opensearch/multi_get.cpp
@@ -23,6 +23,7 @@
     auto& ids = searches_[item.index].ids;
     if (std::find(ids.begin(), ids.end(), item.id) == ids.end()) ids.push_back(item.id);
   }
+  // Counted before the first search starts, so that one that ends at once doesn't complete the response.
   unfinished_ = searches_.size();
 }
 
