Accepted rules are read at any length that proposals can lead to

Nobody owned the promise that what the log accepts can be stored, sent and read. Nothing in the log told an unreadable grant from a lost one: now there is a line.

Also found by looking for the same cause: nodes in maintenance joined to withheld nodes, in either order; the meet of two baselines that a broker saves while one is pending; zone failover, whose baseline proposal in canonical form no voter could read; accord undo.

Change: parse_accepted_rule_set() for what was accepted (up to 2 MiB); proposal_text(), a short form, for what brokers propose themselves. What the log accepts is as before, so that voters of an earlier build apply the same entries alike, and a folder that holds such a baseline starts again.

--- a/src/cli/accord.cpp
+++ b/src/cli/accord.cpp
@@ -197,7 +197,9 @@
   if (undo_of) {
     const auto rules = rules_of_version(*history, undo_of);
     if (!rules) return report_error(kFailure, "version " + std::to_string(undo_of) + " is not known there");
-    text = *rules;
+    shared_config::RuleSet undone = shared_config::parse_accepted_rule_set(*rules, "version");
+    undone.endpoints_in_maintenance.clear();  // an operator's proposal leaves them as they are
+    text = shared_config::proposal_text(undone);
     if (options.why.empty()) options.why = "back to version " + std::to_string(undo_of);
   } else {
     std::ifstream file(options.rules_path, std::ios::binary);
--- a/src/cluster/cluster_node.cpp
+++ b/src/cluster/cluster_node.cpp
@@ -144,7 +144,7 @@
       saved.text = text;
       saved.hash = shared_config::content_hash(text);
       saved.rules = std::make_shared<const shared_config::RuleSet>(
-          shared_config::parse_rule_set(text, "saved baseline"));
+          shared_config::parse_accepted_rule_set(text, "saved baseline"));
       config_node_->restore_baseline(saved);
     }
     config_node_->on_applied = [this](const shared_config::ConfigEntry& entry,
@@ -160,6 +160,10 @@
       if (maintenance_agent_ && entry.kind == shared_config::ConfigEntry::Kind::kStateMachine)
         maintenance_agent_->record_job_changes();
     };
+    config_node_->on_unreadable_grant = [](const std::string& from, const std::string& fault) {
+      log("accord", "a grant of %s can't be read, this broker gets no lease from it: %s", from.c_str(),
+          fault.c_str());
+    };
     applied_rules_ = config_node_->active_config(now());
   } else {
     auto none = std::make_shared<shared_config::ActiveConfig>();
--- a/src/maintenance/maintenance_controller.cpp
+++ b/src/maintenance/maintenance_controller.cpp
@@ -22,7 +22,7 @@
 std::string rules_that_exclude(const std::set<std::string>& endpoints) {
   shared_config::RuleSet rules;
   rules.endpoints_in_maintenance = endpoints;
-  return shared_config::canonical_text(rules);
+  return shared_config::proposal_text(rules);
 }
 
 }  // namespace
--- a/src/shared_config/log_codec.cpp
+++ b/src/shared_config/log_codec.cpp
@@ -13,7 +13,7 @@
 }
 
 std::optional<Version> from_proto(const accord::wire::Version& v) {
-  if (v.number() == 0 || v.rules().size() > kMaxRuleSetTextBytes || content_hash(v.rules()) != v.hash())
+  if (v.number() == 0 || v.rules().size() > kMaxCanonicalTextBytes || content_hash(v.rules()) != v.hash())
     return std::nullopt;
   Version out;
   out.number = v.number();
@@ -24,7 +24,7 @@
   out.id = v.id();
   out.note = v.note();
   try {
-    out.rules = std::make_shared<const RuleSet>(parse_rule_set(v.rules(), "version"));
+    out.rules = std::make_shared<const RuleSet>(parse_accepted_rule_set(v.rules(), "version"));
   } catch (const RuleSetError&) {
     return std::nullopt;
   }
--- a/src/shared_config/rule_set.cpp
+++ b/src/shared_config/rule_set.cpp
@@ -4,6 +4,7 @@
 #include <sodium.h>
 
 #include <algorithm>
+#include <climits>
 #include <iterator>
 
 #include "base/first_error.h"
@@ -14,7 +15,17 @@
 namespace {
 
 constexpr Time kMs = kSecond / 1000;
-constexpr int kMaxNames = 4096;
+constexpr int kMaxProposedNames = 4096;
+
+// What parse() accepts.
+struct TextLimits {
+  std::size_t max_bytes;
+  int max_names;       // of request classes, indices and endpoints together
+  int max_zone_pairs;  // with a share of their own
+};
+constexpr TextLimits kProposalLimits{kMaxRuleSetTextBytes, kMaxProposedNames, kMaxProposedNames};
+// The length alone bounds accepted rules.
+constexpr TextLimits kAcceptedLimits{kMaxCanonicalTextBytes, INT_MAX, INT_MAX};
 
 std::set<std::string> union_of(const std::set<std::string>& a, const std::set<std::string>& b) {
   std::set<std::string> names = a;
@@ -119,9 +130,13 @@
 
 bool is_within(const RuleSet& a, const RuleSet& b) { return first_excess(a, b).empty(); }
 
-RuleSet parse_rule_set(const std::string& text, const std::string& file) {
+namespace {
+
+RuleSet parse(const std::string& text, const std::string& file, const TextLimits& limits) {
   const auto fail = [&](const std::string& what) { throw RuleSetError(file + ":" + what); };
-  if (text.size() > kMaxRuleSetTextBytes) fail(" the rules are longer than 64 KiB");
+  if (text.size() > limits.max_bytes) {
+    fail(" the rules are longer than " + std::to_string(limits.max_bytes >> 10) + " KiB");
+  }
   accord::rules::Rules message;
   google::protobuf::TextFormat::Parser parser;
   FirstError error;
@@ -167,8 +182,8 @@
   if (message.has_second_copies()) out.allows_hedging = message.second_copies();
   if (message.op_type_size() + message.two_phase_off_size() + message.index_off_size() +
           message.withheld_node_size() + message.at_work_size() >
-      kMaxNames)
-    fail(" more than 4096 names");
+      limits.max_names)
+    fail(" more than " + std::to_string(limits.max_names) + " names");
   const auto read_names = [&](const auto& list, const char* field, std::set<std::string>& into) {
     for (const std::string& n : list) {
       if (!is_valid_name(n)) fail(std::string(" ") + field + ": '" + n + "' is not a valid name");
@@ -187,7 +202,8 @@
   };
   if (message.zone_shares().has_otherwise())
     out.zone_shares.default_thousandths = read_thousandths(message.zone_shares().otherwise(), "otherwise");
-  if (message.zone_shares().share_size() > kMaxNames) fail(" zone_shares: more than 4096 pairs");
+  if (message.zone_shares().share_size() > limits.max_zone_pairs)
+    fail(" zone_shares: more than " + std::to_string(limits.max_zone_pairs) + " pairs");
   for (const auto& z : message.zone_shares().share()) {
     if (!is_valid_name(z.from()) || !is_valid_name(z.to()))
       fail(" zone_shares: from or to is missing or invalid");
@@ -200,7 +216,7 @@
   return out;
 }
 
-std::string canonical_text(const RuleSet& rules) {
+accord::rules::Rules to_message(const RuleSet& rules) {
   accord::rules::Rules m;
   for (const auto& [name, r] : rules.request_classes) {
     if (r == RequestClassRule{}) continue;
@@ -233,8 +249,55 @@
       z->set_most(static_cast<std::uint32_t>(most));
     }
   }
+  return m;
+}
+
+// Appends `field: ["a", "b"]` in the short form that names the field once.
+void append_list(const std::set<std::string>& names, const char* field, std::string& into) {
+  if (names.empty()) return;
+  into += field;
+  char separator = '[';
+  for (const std::string& name : names) {
+    into += separator;
+    into += '"';
+    for (const char c : name) {
+      if (c == '\\') into += c;
+      into += c;
+    }
+    into += '"';
+    separator = ',';
+  }
+  into += "]\n";
+}
+
+}  // namespace
+
+RuleSet parse_rule_set(const std::string& text, const std::string& file) {
+  return parse(text, file, kProposalLimits);
+}
+
+RuleSet parse_accepted_rule_set(const std::string& text, const std::string& source) {
+  return parse(text, source, kAcceptedLimits);
+}
+
+std::string canonical_text(const RuleSet& rules) {
+  std::string text;
+  google::protobuf::TextFormat::PrintToString(to_message(rules), &text);
+  return text;
+}
+
+std::string proposal_text(const RuleSet& rules) {
+  accord::rules::Rules message = to_message(rules);
+  message.clear_two_phase_off();
+  message.clear_index_off();
+  message.clear_withheld_node();
+  message.clear_at_work();
   std::string text;
-  google::protobuf::TextFormat::PrintToString(m, &text);
+  google::protobuf::TextFormat::PrintToString(message, &text);
+  append_list(rules.two_phase_disabled, "two_phase_off:", text);
+  append_list(rules.disabled_indices, "index_off:", text);
+  append_list(rules.withheld_endpoints, "withheld_node:", text);
+  append_list(rules.endpoints_in_maintenance, "at_work:", text);
   return text;
 }
 
--- a/src/shared_config/rule_set.h
+++ b/src/shared_config/rule_set.h
@@ -74,13 +74,23 @@
 struct RuleSetError : std::runtime_error {
   using std::runtime_error::runtime_error;
 };
-// Parses rules in protobuf text format. `file` names the source in errors. Throws RuleSetError.
+// Parses rules that an operator or another broker proposes, in protobuf text format of at most
+// kMaxRuleSetTextBytes. `file` names the source in errors. Throws RuleSetError.
 RuleSet parse_rule_set(const std::string& text, const std::string& file);
+// Parses the canonical text of rules that were accepted, of at most kMaxCanonicalTextBytes. The limits of a
+// proposal don't apply: the canonical text of a proposal is longer than its own text, and an accepted rule
+// set joins the parts of several proposals. `source` names the source in errors. Throws RuleSetError.
+RuleSet parse_accepted_rule_set(const std::string& text, const std::string& source);
 // Returns the canonical text form: equal rule sets have equal texts.
 std::string canonical_text(const RuleSet& rules);
+// Returns a short text form for proposals. parse_rule_set() reads it unless it exceeds kMaxRuleSetTextBytes.
+std::string proposal_text(const RuleSet& rules);
 // Returns 64 bits of the BLAKE2b hash of `text` as 16 hex digits.
 std::string content_hash(const std::string& text);
 
-constexpr std::size_t kMaxRuleSetTextBytes = 64 << 10;
+constexpr std::size_t kMaxRuleSetTextBytes = 64 << 10;  // of a proposal
+// Of accepted rules. The canonical text of a proposal is less than four times as long as its own text; a
+// version joins the parts of up to three proposals, and a saved baseline may be the meet of two baselines.
+constexpr std::size_t kMaxCanonicalTextBytes = std::size_t{2} << 20;
 
 }  // namespace cairnhub::shared_config
--- a/src/shared_config/shared_config_node.cpp
+++ b/src/shared_config/shared_config_node.cpp
@@ -13,6 +13,42 @@
 constexpr int kMaxUnansweredRequests = 3;  // after this many, another broker is asked for the leader
 constexpr std::size_t kMaxPendingProposals = 64;
 
+// Returns nothing and sets `fault` if the version can't be read.
+std::optional<Version> read_version(const accord::wire::Version& message, const char* what,
+                                    std::string& fault) {
+  std::optional<Version> version = from_proto(message);
+  if (!version) {
+    fault = std::string(what) + " " + std::to_string(message.number()) + " with " +
+            std::to_string(message.rules().size()) + " bytes of rules";
+  }
+  return version;
+}
+
+// Returns nothing and sets `fault` if the grant can't be read.
+std::optional<LeaseGrant> read_grant(const accord::wire::Grant& message, std::string& fault) {
+  if (message.high() < message.low() ||
+      message.high() - message.low() > VersionHistory::kMaxPendingVersions) {
+    fault = "versions " + std::to_string(message.low()) + " to " + std::to_string(message.high());
+    return std::nullopt;
+  }
+  LeaseGrant grant;
+  grant.sequence = message.sequence();
+  grant.low = message.low();
+  grant.high = message.high();
+  grant.term = message.term();
+  for (const auto& version_message : message.version()) {
+    std::optional<Version> version = read_version(version_message, "version", fault);
+    if (!version) return std::nullopt;
+    grant.versions.push_back(std::move(*version));
+  }
+  if (message.has_ground() && !(grant.baseline = read_version(message.ground(), "ground", fault)))
+    return std::nullopt;
+  if (message.has_ground_next() &&
+      !(grant.next_baseline = read_version(message.ground_next(), "ground", fault)))
+    return std::nullopt;
+  return grant;
+}
+
 }  // namespace
 
 SharedConfigNode::SharedConfigNode(const SharedConfigSettings& settings, const std::string& self,
@@ -176,20 +212,10 @@
     if (w.sequence() == 0) {
       lease_client_.request_soon(now);  // not a grant: the leader announces a change
     } else {
-      LeaseGrant g;
-      g.sequence = w.sequence();
-      g.low = w.low();
-      g.high = w.high();
-      g.term = w.term();
-      bool is_valid = w.high() >= w.low() && w.high() - w.low() <= VersionHistory::kMaxPendingVersions;
-      for (const auto& v : w.version()) {
-        auto version = from_proto(v);
-        is_valid = is_valid && version;
-        if (version) g.versions.push_back(std::move(*version));
-      }
-      if (w.has_ground()) is_valid = is_valid && (g.baseline = from_proto(w.ground()));
-      if (w.has_ground_next()) is_valid = is_valid && (g.next_baseline = from_proto(w.ground_next()));
-      if (is_valid && lease_client_.handle_grant(now, g)) {
+      std::string fault;
+      const std::optional<LeaseGrant> grant = read_grant(w, fault);
+      if (!grant && on_unreadable_grant) on_unreadable_grant(from, fault);
+      if (grant && lease_client_.handle_grant(now, *grant)) {
         leader_ = from;
         unanswered_requests_ = 0;
         has_leader_answered_ = true;
--- a/src/shared_config/shared_config_node.h
+++ b/src/shared_config/shared_config_node.h
@@ -114,6 +114,8 @@
   SharedConfigStatus status(Time now) const;
   // Optional callback, called for each entry that the log applies at this broker.
   std::function<void(const ConfigEntry&, const ApplyResult&)> on_applied;
+  // Optional callback, called with the sender of a grant that this broker can't read, and with what of it.
+  std::function<void(const std::string& from, const std::string& fault)> on_unreadable_grant;
 
  private:
   struct PendingProposal {
--- a/src/zone_failover/zone_failover.cpp
+++ b/src/zone_failover/zone_failover.cpp
@@ -245,7 +245,8 @@
     ground.zone_shares = shared_config::ZoneShares{options_.traffic_split.min_share_thousandths, {}};
     entry.kind = shared_config::ConfigEntry::Kind::kProposeBaseline;
     entry.base = versions.baseline().number;
-    entry.text = shared_config::canonical_text(ground);
+    ground.endpoints_in_maintenance.clear();  // the proposal leaves them as they are
+    entry.text = shared_config::proposal_text(ground);
     entry.why = "what zones may send each other without asking";
     entry.id = make_proposal_id(now);
     return entry;
@@ -265,7 +266,7 @@
   rules.zone_shares = split.shares;
   entry.kind = shared_config::ConfigEntry::Kind::kProposeZoneShares;
   entry.base = versions.zone_shares_version();
-  entry.text = shared_config::canonical_text(rules);
+  entry.text = shared_config::proposal_text(rules);
   entry.note = text_of(decision);
   entry.why = reason_ = reason.substr(0, kMaxReasonBytes);
   entry.id = make_proposal_id(now);
