A long history of rules fits into the messages between brokers

Change: old versions, and versions that wait for force, hold 1 MiB each; RaftNode puts at most 1 MiB of entries, or one entry, into a message. The follower's answer brings the next ones.

Evidence: shared_config_long_history, a simulated cluster in which messages past 4 MiB are lost.

--- a/src/shared_config/raft_node.cpp
+++ b/src/shared_config/raft_node.cpp
@@ -20,6 +20,8 @@
 
 constexpr Time kMs = kSecond / 1000;
 constexpr int kMaxCallbacksPerRun = 10000;
+// A message holds log entries until they exceed this; the follower's answer brings the next ones.
+constexpr std::size_t kMaxAppendedBytes = std::size_t{1} << 20;
 
 // Copies the bytes into a buffer that libraft frees. The allocation is never empty, since libraft treats an
 // empty buffer as none.
@@ -305,7 +307,11 @@
         w.set_a(m.prev_log_index);
         w.set_b(m.prev_log_term);
         w.set_c(m.leader_commit);
-        for (unsigned k = 0; k < m.n_entries; ++k) add(m.entries[k]);
+        std::size_t entry_bytes = 0;
+        for (unsigned k = 0; k < m.n_entries && entry_bytes < kMaxAppendedBytes; ++k) {
+          entry_bytes += m.entries[k].buf.len;
+          add(m.entries[k]);
+        }
         break;
       }
       case RAFT_IO_APPEND_ENTRIES_RESULT: {
--- a/src/shared_config/version_history.cpp
+++ b/src/shared_config/version_history.cpp
@@ -23,6 +23,12 @@
 
 }  // namespace
 
+std::size_t encoded_bytes(const Version& version) {
+  constexpr std::size_t kNumbersAndTags = 64;
+  return kNumbersAndTags + version.text.size() + version.hash.size() + version.who.size() +
+         version.why.size() + version.id.size() + version.note.size();
+}
+
 std::string encode(const ConfigEntry& entry) {
   accord::wire::Entry e;
   e.set_kind(static_cast<std::uint32_t>(entry.kind));
@@ -42,18 +48,38 @@
   if (!e.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return std::nullopt;
   if (e.kind() < 1 || e.kind() > static_cast<std::uint32_t>(ConfigEntry::Kind::kStateMachine))
     return std::nullopt;
-  if (e.rules().size() > kMaxRuleSetTextBytes || e.who().size() > 256 || e.why().size() > 1024 ||
-      e.id().size() > 64 || e.name().size() > 64 || e.note().size() > 8192)
-    return std::nullopt;
-  return ConfigEntry{static_cast<ConfigEntry::Kind>(e.kind()),
-                     e.id(),
-                     e.rules(),
-                     e.who(),
-                     e.why(),
-                     e.name(),
-                     e.note(),
-                     e.base(),
-                     e.number()};
+  ConfigEntry entry{static_cast<ConfigEntry::Kind>(e.kind()),
+                    e.id(),
+                    e.rules(),
+                    e.who(),
+                    e.why(),
+                    e.name(),
+                    e.note(),
+                    e.base(),
+                    e.number()};
+  if (!first_field_over_limit(entry).empty()) return std::nullopt;
+  return entry;
+}
+
+std::string first_field_over_limit(const ConfigEntry& entry) {
+  struct Field {
+    const char* name;
+    const std::string& value;
+    std::size_t max_bytes;
+  };
+  const Field fields[] = {{"rules", entry.text, kMaxRuleSetTextBytes},
+                          {"who", entry.who, 256},
+                          {"why", entry.why, 1024},
+                          {"id", entry.id, 64},
+                          {"name", entry.name, 64},
+                          {"note", entry.note, 8192}};
+  for (const Field& field : fields) {
+    if (field.value.size() > field.max_bytes) {
+      return std::string(field.name) + " has " + std::to_string(field.value.size()) +
+             " bytes; allowed are at most " + std::to_string(field.max_bytes);
+    }
+  }
+  return "";
 }
 
 VersionHistory::VersionHistory(std::shared_ptr<const ReplicatedStateMachine> state_machine)
@@ -151,6 +177,9 @@
                    ": look and propose anew"};
   if (newest() - in_force_ >= kMaxPendingVersions)
     return {0, std::to_string(kMaxPendingVersions) + " versions wait for force already"};
+  if (pending_version_bytes() > kMaxPendingVersionBytes)
+    return {0, "versions of more than " + std::to_string(kMaxPendingVersionBytes >> 10) +
+                   " KiB wait for force already"};
   RuleSet rules;
   try {
     rules = parse_rule_set(e.text, "rules");
@@ -220,6 +249,21 @@
 void VersionHistory::drop_old_versions() {
   while (versions_.size() > kMaxOldVersions && versions_.begin()->first + kMaxOldVersions <= in_force_)
     versions_.erase(versions_.begin());
+  const auto current = versions_.find(in_force_);
+  std::size_t old_bytes = 0;
+  for (auto version = versions_.begin(); version != current; ++version)
+    old_bytes += encoded_bytes(version->second);
+  while (old_bytes > kMaxOldVersionBytes) {
+    old_bytes -= encoded_bytes(versions_.begin()->second);
+    versions_.erase(versions_.begin());
+  }
+}
+
+std::size_t VersionHistory::pending_version_bytes() const {
+  std::size_t bytes = 0;
+  for (auto version = versions_.upper_bound(in_force_); version != versions_.end(); ++version)
+    bytes += encoded_bytes(version->second);
+  return bytes;
 }
 
 std::string VersionHistory::snapshot() const {
--- a/src/shared_config/version_history.h
+++ b/src/shared_config/version_history.h
@@ -35,6 +35,9 @@
   std::shared_ptr<const RuleSet> rules;
 };
 
+// Returns about how many bytes the version takes in a message or a snapshot.
+std::size_t encoded_bytes(const Version& version);
+
 // An entry of the replicated log.
 struct ConfigEntry {
   enum class Kind {
@@ -65,6 +68,9 @@
 std::string encode(const ConfigEntry& entry);
 // Returns nothing if the bytes are malformed or a field exceeds its limit.
 std::optional<ConfigEntry> decode_entry(std::string_view bytes);
+// Describes the first field that decode_entry() refuses for its length; returns an empty string if there is
+// none.
+std::string first_field_over_limit(const ConfigEntry& entry);
 
 // The result of applying an entry.
 struct ApplyResult {
@@ -125,7 +131,11 @@
 
   static constexpr std::size_t kMaxOldVersions = 128;      // versions older than the one in force
   static constexpr std::size_t kMaxPendingVersions = 512;  // versions newer than the one in force
-  static constexpr std::size_t kMaxProposalIds = 1024;     // ids of proposals
+  // As encoded_bytes() counts them. A snapshot and a grant to a new broker hold both, and each must fit into
+  // one message between brokers.
+  static constexpr std::size_t kMaxOldVersionBytes = std::size_t{1} << 20;
+  static constexpr std::size_t kMaxPendingVersionBytes = std::size_t{1} << 20;
+  static constexpr std::size_t kMaxProposalIds = 1024;  // ids of proposals
   static constexpr std::size_t kMaxBrokers = 4096;
   static constexpr std::size_t kMaxZoneOrders = 64;
 
@@ -135,6 +145,7 @@
   ApplyResult set_zone_order(const ConfigEntry& e);
   ApplyResult apply_to_state_machine(const ConfigEntry& e);
   void drop_old_versions();
+  std::size_t pending_version_bytes() const;
 
   std::map<std::uint64_t, Version> versions_;  // never empty: version 1 restricts nothing
   std::uint64_t in_force_ = 1;
--- a/tests/cluster/seeded.h
+++ b/tests/cluster/seeded.h
@@ -44,6 +44,10 @@
   std::uint64_t sent = 0, bytes = 0;
   void carry(int from, int to, std::size_t size, const std::function<void()>& arrives) {
     ++sent, bytes += size;
+    if (size > max_message_bytes) {
+      ++too_long;
+      return;
+    }
     if (cut.count({from, to})) return;
     for (int copies = chance.unit() < doubled ? 2 : 1; copies > 0; --copies) {
       if (chance.unit() < loss) continue;
@@ -53,6 +57,8 @@
   void cut_both(int a, int b) { cut.insert({a, b}), cut.insert({b, a}); }
 
   Chance chance;
+  std::size_t max_message_bytes = SIZE_MAX;  // a longer message is lost
+  std::uint64_t too_long = 0;                // messages lost for their length
 
  private:
   struct Due {
