A proposal with a field past its limit is refused at once

Callers saw: at a broker that doesn't lead, a proposal with rules past 64 KiB (or a name past 64 bytes) got no answer for 10 s, then 504 "may still be accepted"; at the leader it was written to the log and refused as unreadable.

Evidence: LongRulesTest.ProposalOverALimitIsRefusedAtOnceByAnyBroker, which has no answer before.

--- a/src/shared_config/shared_config_node.cpp
+++ b/src/shared_config/shared_config_node.cpp
@@ -266,6 +266,8 @@
 }
 
 void SharedConfigNode::propose(Time now, ConfigEntry entry, Done done) {
+  if (const std::string fault = first_field_over_limit(entry); !fault.empty())
+    return done(ApplyResult{0, fault});
   if (pending_.size() >= kMaxPendingProposals) return done(std::nullopt);
   pending_.push_back({std::move(entry), std::move(done), now + settings_.proposal_timeout, now});
   run(now);
--- a/tests/unit/shared_config/long_rules_test.cpp
+++ b/tests/unit/shared_config/long_rules_test.cpp
@@ -211,6 +211,23 @@
   EXPECT_TRUE(world.play(world.now() + 30 * kSecond, follow_baseline));
 }
 
+// Guards against: a proposal that no voter reads is repeated until its time is over, instead of being
+// refused.
+TEST(LongRulesTest, ProposalOverALimitIsRefusedAtOnceByAnyBroker) {
+  Seeded world(1);
+  SharedConfigCluster brokers(world, 4, 3, settings_of_test());
+  brokers.start_all();
+  ASSERT_TRUE(world.play(world.now() + 30 * kSecond, [&] { return brokers.is_settled(); }));
+  for (int by = 0; by < 4; ++by) {
+    std::optional<ApplyResult> result;
+    brokers.propose(by, std::string(kMaxRuleSetTextBytes + 1, ' '), false, 1, "over" + std::to_string(by),
+                    [&](const std::optional<ApplyResult>& r) { result = r; });
+    ASSERT_TRUE(result) << "broker " << by;
+    EXPECT_EQ(result->number, 0u);
+    EXPECT_EQ(result->rejection, "rules has 65537 bytes; allowed are at most 65536");
+  }
+}
+
 }  // namespace
 
 }  // namespace cairnhub::shared_config
