A broker acts on all of its baseline from the first request on

The policy and the two-phase classes are told these limits as the broker is put together.

Change: update_class_limits() derives them, in both places.

--- a/src/cluster/cluster_node.cpp
+++ b/src/cluster/cluster_node.cpp
@@ -170,7 +170,7 @@
     none->rules = std::make_shared<const shared_config::RuleSet>();
     applied_rules_ = std::move(none);
   }
-  limits_.resize(request_classes_.size());
+  update_class_limits();
   stays_in_region_.resize(request_classes_.size());
   warm_up_time_ = settings.duration("rules.cold", 0);
   cold_start_share_ = settings.number("rules.cold-from", 1);
@@ -625,6 +625,16 @@
   hooks_.request_list();
 }
 
+// Derives the limits of the request classes from the rules in effect.
+void ClusterNode::update_class_limits() {
+  limits_.clear();
+  for (const std::string& request_class : request_classes_) {
+    const auto& rule = applied_rules_->rules->rule_for(request_class);
+    limits_.push_back(
+        {rule.is_served, rule.max_duration, rule.max_in_progress, rule.max_latency_budget, rule.min_share});
+  }
+}
+
 bool ClusterNode::refresh_rules() {
   const bool gossip_changed = gossip_changes_seen_ != gossip_changes_;
   gossip_changes_seen_ = gossip_changes_;
@@ -632,11 +642,7 @@
   const auto& acting = config_node_->active_config(now());
   if (acting == applied_rules_) return gossip_changed;
   applied_rules_ = acting;
-  for (std::size_t i = 0; i < request_classes_.size(); ++i) {
-    const auto& rule = applied_rules_->rules->rule_for(request_classes_[i]);
-    limits_[i] = {rule.is_served, rule.max_duration, rule.max_in_progress, rule.max_latency_budget,
-                  rule.min_share};
-  }
+  update_class_limits();
   if (zone_failover_) {
     update_cross_zone_budgets();
     update_zone_limits();
--- a/src/cluster/cluster_node.h
+++ b/src/cluster/cluster_node.h
@@ -113,6 +113,7 @@
   std::optional<zone_failover::ZoneReport> make_due_zone_report(Time at);
   void update_shared_zones();
   void update_standalone_zones();
+  void update_class_limits();
   void update_zone_limits();
   void update_cross_zone_budgets();
   int accounted_zone(int zone) const;
@@ -129,7 +130,7 @@
   Timer timer_;
   ProcessHooks hooks_;
   std::shared_ptr<const shared_config::ActiveConfig> applied_rules_;
-  std::vector<dispatch::RequestClassLimits> limits_;  // by request class
+  std::vector<dispatch::RequestClassLimits> limits_;  // by request class; follow `applied_rules_`
   std::unique_ptr<zone_failover::ZoneFailover> zone_failover_;
   std::unique_ptr<MaintenanceAgent> maintenance_agent_;
   std::unique_ptr<shared_config::VersionHistory> standalone_zone_versions_;
