Incomplete requests are bounded by the memory that they become, before it is parsed

Cause: an incomplete request was counted by the bytes read of it. libevent makes three blocks of every field (4 bytes become 112), and one of 1 kB of every read of a chunk. The bound was enforced in the turn after; the first read of a connection was not counted at all; a head was kept, and counted by its bytes, while its request was in flight. A client past the bound could lose its 503, as its connection was closed over bytes not yet read.

Change: HttpMessageMemory estimates what the parser makes of a message, from its bytes, before the parser gets them. Incomplete requests are part of ClientMemory (new use, in the log line "memory: ..."); MemoryLimiter bounds them at an eighth, as before. A read past it closes larger incomplete requests at once, else drops the read, so that the bound is never exceeded. The fields of a request in flight are dropped once they are read. Rejected connections linger (LingeringSockets) until the client has read its response.

Why it works: nothing is parsed that the bound has no room for, and the largest go first, so that small and slow requests of sound clients stay.

--- a/src/dispatch/client_memory.cpp
+++ b/src/dispatch/client_memory.cpp
@@ -36,12 +36,12 @@
 void ClientMemory::log_peak() {
   next_logged_peak_ = held_bytes_ + process_limit_bytes_ / kPeakStepDivisor;
   log("memory",
-      "new peak of what is held for clients: %zu kB (requests %zu, received %zu, answers %zu, responses "
-      "%zu); the "
-      "process has taken %zu of %zu kB",
-      held_bytes_ / kBytesPerKb, held_bytes(MemoryUse::kRequests) / kBytesPerKb,
-      held_bytes(MemoryUse::kReceived) / kBytesPerKb, held_bytes(MemoryUse::kAnswers) / kBytesPerKb,
-      held_bytes(MemoryUse::kResponses) / kBytesPerKb, process_peak_kb(), process_limit_bytes_ / kBytesPerKb);
+      "new peak of what is held for clients: %zu kB (incomplete %zu, requests %zu, received %zu, answers "
+      "%zu, responses %zu); the process has taken %zu of %zu kB",
+      held_bytes_ / kBytesPerKb, held_bytes(MemoryUse::kIncomplete) / kBytesPerKb,
+      held_bytes(MemoryUse::kRequests) / kBytesPerKb, held_bytes(MemoryUse::kReceived) / kBytesPerKb,
+      held_bytes(MemoryUse::kAnswers) / kBytesPerKb, held_bytes(MemoryUse::kResponses) / kBytesPerKb,
+      process_peak_kb(), process_limit_bytes_ / kBytesPerKb);
 }
 
 MemoryReservation::MemoryReservation(std::shared_ptr<ClientMemory> memory, MemoryUse use, std::size_t bytes)
--- a/src/dispatch/client_memory.h
+++ b/src/dispatch/client_memory.h
@@ -12,12 +12,13 @@
 
 // What the memory is held for.
 enum class MemoryUse {
-  kRequests,   // requests in flight: as read, parsed, and with their attempts
-  kReceived,   // values from endpoints that are still incomplete
-  kAnswers,    // values from endpoints, until the response is made of them
-  kResponses,  // responses that are complete or in part, until their last byte is written
+  kIncomplete,  // requests that have not been read completely, and bytes read behind a request in flight
+  kRequests,    // requests in flight: as read, parsed, and with their attempts
+  kReceived,    // values from endpoints that are still incomplete
+  kAnswers,     // values from endpoints, until the response is made of them
+  kResponses,   // responses that are complete or in part, until their last byte is written
 };
-constexpr std::size_t kMemoryUseCount = 4;
+constexpr std::size_t kMemoryUseCount = 5;
 
 // Counts the bytes by use, and logs how they are distributed whenever their sum reaches a new peak.
 class ClientMemory {
--- a/src/frontend/http/arrival_times.h
+++ b/src/frontend/http/arrival_times.h
@@ -18,6 +18,8 @@
   // Records that the socket holds unread bytes at the time `at`, while reading is suspended: the bytes read
   // next count as arrived at that time.
   void record_unread(Time at);
+  // Returns the memory that the recorded times take.
+  std::size_t memory_bytes() const { return arrivals_.size() * sizeof(Arrival); }
   // @param buffered_bytes bytes that are still in the buffer
   // @return when the last byte that has left the buffer arrived. Earlier arrivals are removed.
   Time last_consumed_at(std::size_t buffered_bytes, Time now);
--- a/src/frontend/http/http_server.cpp
+++ b/src/frontend/http/http_server.cpp
@@ -16,6 +16,7 @@
 #include <stdexcept>
 
 #include "base/clock.h"
+#include "base/http_message_memory.h"
 #include "base/sockets.h"
 #include "frontend/http/arrival_times.h"
 
@@ -44,10 +45,19 @@
 // A body in pieces that is at most this long is sent whole, with its length. A longer one is sent in chunks
 // of at least this size.
 constexpr std::size_t kMinChunkBytes = 65536;
+// Divides the descriptors that clients may have; sockets of clients that were rejected may linger on the
+// quotient.
+constexpr std::size_t kLingeringDivisor = 2;
 // While the process shuts down, pipelined requests are answered for this long before their connection is
 // closed.
 constexpr Time kPipelineTimeoutClosing = kSecond;
 
+constexpr const char* kTooSlow = "the request came too slowly; nothing of it was used";
+constexpr const char* kNoRoom =
+    "too many incomplete requests; nothing of this one was used, trying again is harmless";
+// The target of a request is kept as text and in its parts.
+constexpr std::size_t kTargetCopies = 4;
+
 int socket_of(evhttp_connection* connection) {
   return bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
 }
@@ -93,6 +103,17 @@
   return nullptr;
 }
 
+// Drops the header fields of a request whose frontend has read them, as many short ones take far more memory
+// than the request. libevent still reads whether the connection stays open.
+void drop_header_fields(evhttp_request* request) {
+  evkeyvalq* headers = evhttp_request_get_input_headers(request);
+  constexpr const char* kConnectionField = "Connection";
+  const char* value = evhttp_find_header(headers, kConnectionField);
+  const std::string connection = value ? value : "";
+  evhttp_clear_headers(headers);
+  if (!connection.empty()) evhttp_add_header(headers, kConnectionField, connection.c_str());
+}
+
 // A piece of a response's body, reserved until libevent has written its last byte or has closed the
 // connection.
 struct ResponsePiece {
@@ -127,6 +148,7 @@
   ClientState(HttpServer* accepting_server, evhttp_connection* accepted)
       : server(accepting_server),
         connection(accepted),
+        incomplete_memory(accepting_server->memory_, dispatch::MemoryUse::kIncomplete),
         request_memory(accepting_server->memory_, dispatch::MemoryUse::kRequests) {}
 
   HttpServer* server;
@@ -140,24 +162,48 @@
   Time request_began_at = 0;           // first byte of an incomplete request; 0: there is none
   bool has_early_bytes = false;        // bytes are unread at the socket while a request is in flight
   ArrivalTimes arrival_times = {};
-  std::size_t incomplete_bytes = 0;            // bytes of incomplete requests, in all buffers
-  dispatch::MemoryReservation request_memory;  // of the request in flight, as libevent keeps it
-
-  void set_incomplete_bytes(std::size_t bytes) {
-    server->incomplete_bytes_ += bytes - incomplete_bytes;
-    incomplete_bytes = bytes;
+  HttpMessageMemory message = {};                 // the incomplete request, as the parser keeps it
+  dispatch::MemoryReservation incomplete_memory;  // of the incomplete request
+  dispatch::MemoryReservation request_memory;     // of the request in flight, as libevent keeps it
+  bool has_no_room = false;                       // the incomplete request is to be rejected
+
+  // Counts the bytes that the parser has not consumed as the beginning of the next request.
+  void begin_request() {
+    message.reset();
+    evbuffer* input = bufferevent_get_input(evhttp_connection_get_bufferevent(connection));
+    message.record_read(input, evbuffer_get_length(input));
+    update_incomplete_memory();
+  }
+  void update_incomplete_memory() {
+    incomplete_memory.resize(message.bytes() > 0 ? message.bytes() + arrival_times.memory_bytes() : 0);
   }
 
   ~ClientState();
   // Returns whether there is no request, complete or not, and nothing left to write.
   bool is_idle() const { return !request && !request_began_at && output_length(connection) == 0; }
-  static void on_bytes(evbuffer*, const evbuffer_cb_info* info, void* context) {
+  // Called before the parser gets the bytes, so that a request that finds no room is not parsed further.
+  static void on_bytes(evbuffer* input, const evbuffer_cb_info* info, void* context) {
     if (info->n_added == 0) return;
-    ClientState& client = *static_cast<ClientState*>(context);
-    client.set_incomplete_bytes(client.incomplete_bytes + info->n_added);
-    client.server->sweep_if_over_limit();
-    client.arrival_times.record_read(info->n_added, now());
-    if (client.request_began_at == 0) client.request_began_at = now();
+    guarded("request", [&] { static_cast<ClientState*>(context)->record_read(input, info->n_added); });
+  }
+  void record_read(evbuffer* input, std::size_t bytes) {
+    const Time at = now();
+    const std::size_t bytes_before = incomplete_memory.bytes();
+    message.record_read(input, bytes);
+    arrival_times.record_read(bytes, at);
+    update_incomplete_memory();
+    if (request_began_at == 0) request_began_at = at;
+    if (!server->has_room_for(*this)) drop_input(bytes_before);
+  }
+  // Keeps the request from being read on: it is rejected once the read that calls this is over, since the
+  // connection can't be closed within.
+  void drop_input(std::size_t bytes_before_read) {
+    has_no_room = true;
+    bufferevent* bev = evhttp_connection_get_bufferevent(connection);
+    bufferevent_disable(bev, EV_READ);
+    evbuffer_drain(bufferevent_get_input(bev), evbuffer_get_length(bufferevent_get_input(bev)));
+    incomplete_memory.resize(bytes_before_read);
+    server->sweep_timer_.start(0);
   }
 };
 
@@ -313,18 +359,16 @@
 HttpServer::ClientState::~ClientState() {
   if (responder) responder->detach();
   if (departure) event_free(departure);
-  set_incomplete_bytes(0);
   evbuffer_remove_cb(bufferevent_get_input(evhttp_connection_get_bufferevent(connection)), on_bytes, this);
 }
 
 HttpServer::HttpServer(event_base* base, const std::string& listen_address, int pause_at_descriptor,
-                       std::size_t max_idle, std::size_t max_incomplete_bytes,
-                       platform::RequestParser& request_parser, dispatch::RequestDispatcher& dispatcher,
+                       std::size_t max_idle, platform::RequestParser& request_parser,
+                       dispatch::RequestDispatcher& dispatcher,
                        std::shared_ptr<dispatch::ClientMemory> memory)
     : base_(base),
       pause_at_descriptor_(pause_at_descriptor),
       max_idle_(max_idle),
-      max_incomplete_bytes_(max_incomplete_bytes),
       sweep_timer_(base, [this] { sweep(); }),
       early_bytes_timer_(base, [this] { check_early_bytes(); }),
       resume_timer_(base,
@@ -333,7 +377,9 @@
                     }),
       request_parser_(request_parser),
       dispatcher_(dispatcher),
-      memory_(std::move(memory)) {
+      memory_(std::move(memory)),
+      lingering_sockets_(base,
+                         static_cast<std::size_t>(std::max(0, pause_at_descriptor)) / kLingeringDivisor) {
   Address address;
   if (!parse_address(listen_address, address)) {
     throw std::runtime_error("configuration: listen is not an address");
@@ -369,6 +415,7 @@
           if (server->new_connections_.empty()) server->sweep_timer_.start(0);
           server->new_connections_.push_back(bev);
           bufferevent_incref(bev);
+          evbuffer_add_cb(bufferevent_get_input(bev), on_first_bytes, server);
         });
         return bev;
       },
@@ -385,7 +432,10 @@
   accepting_server_ = nullptr;
   for (auto& [connection, client] : clients_) evhttp_connection_set_closecb(connection, nullptr, nullptr);
   clients_.clear();
-  for (bufferevent* bev : new_connections_) bufferevent_decref(bev);
+  for (bufferevent* bev : new_connections_) {
+    evbuffer_remove_cb(bufferevent_get_input(bev), on_first_bytes, this);
+    bufferevent_decref(bev);
+  }
   evhttp_free(http_);
 }
 
@@ -421,15 +471,15 @@
   if (const std::size_t buffered = input_length(connection); buffered > 0) {
     slot->request_began_at = slot->idle_since;
     slot->arrival_times.record_read(buffered, slot->idle_since);
-    slot->set_incomplete_bytes(buffered);
+    slot->begin_request();
   }
   return *slot;
 }
 
-// Creates the state of new connections and closes the connections that have timed out or exceed a limit.
-void HttpServer::sweep() {
-  is_sweep_due_ = false;
+// Creates the state of the connections accepted since the last call.
+void HttpServer::adopt_new_connections() {
   for (bufferevent* bev : std::exchange(new_connections_, {})) {
+    evbuffer_remove_cb(bufferevent_get_input(bev), on_first_bytes, this);
     // evhttp reports a connection only with its first request, and most connections that must be closed never
     // send a request. The evhttp_connection is the context of the callbacks that evhttp sets.
     void* connection = nullptr;
@@ -437,8 +487,30 @@
     if (connection) client_of(static_cast<evhttp_connection*>(connection));
     bufferevent_decref(bev);
   }
+}
+
+// Called before the parser gets the first bytes of a connection that has no state yet.
+void HttpServer::on_first_bytes(evbuffer* input, const evbuffer_cb_info* info, void* context) {
+  if (info->n_added == 0) return;
+  guarded("accept", [input, server = static_cast<HttpServer*>(context)] {
+    server->adopt_new_connections();
+    for (auto& [connection, client] : server->clients_) {
+      if (bufferevent_get_input(evhttp_connection_get_bufferevent(connection)) != input) continue;
+      if (!server->has_room_for(*client)) client->drop_input(0);
+      return;
+    }
+  });
+}
+
+// Closes the connections that have timed out or exceed a limit.
+void HttpServer::sweep() {
+  adopt_new_connections();
   update_accepting();
-  limit_incomplete_requests();
+  std::vector<ClientState*> without_room;
+  for (auto& [connection, client] : clients_) {
+    if (client->has_no_room) without_room.push_back(client.get());
+  }
+  for (ClientState* client : without_room) close_incomplete(*client, kNoRoom);
   close_where([this](const ClientState& client) { return has_timed_out(client); });
   // A proxy that limits the connections to the broker counts idle connections too, and would have none left
   // for other clients long before descriptors run short here. A client whose next request crosses the close
@@ -472,59 +544,65 @@
   return client.request_began_at && at - client.request_began_at > kRequestReadTimeout;
 }
 
-// Starts the timer only once: a timer restarted in the turn in which it is due isn't called in that turn, and
-// with bytes arriving in every turn it would never be called.
-void HttpServer::sweep_if_over_limit() {
-  if (incomplete_bytes_ > max_incomplete_bytes_ && !std::exchange(is_sweep_due_, true)) sweep_timer_.start(0);
-}
-
-// Closes the connections that hold the largest incomplete requests until the rest is within the limit, so
-// that clients that stop before the end of a large body can't exhaust the memory. While the limit is
-// exceeded, the connection of a client that writes a large request slowly may be closed too.
-void HttpServer::limit_incomplete_requests() {
-  if (incomplete_bytes_ <= max_incomplete_bytes_) return;
-  std::vector<std::pair<std::size_t, evhttp_connection*>> by_size;
+// Keeps incomplete requests within their bound of memory, so that clients that never end their requests can't
+// exhaust it: the connections that hold more than the one being read are closed, the largest first. While the
+// bound is exceeded, the connection of a client that writes a large request slowly may be closed too.
+// @return whether the request of the connection being read has room
+bool HttpServer::has_room_for(const ClientState& reading) {
+  const std::size_t held_bytes = memory_->held_bytes(dispatch::MemoryUse::kIncomplete);
+  const std::size_t bytes_to_free = memory_->limiter().incomplete_bytes_to_free(held_bytes);
+  if (bytes_to_free == 0) return true;
+  log("clients", "incomplete requests take %zu bytes, the limit is %zu: closing the largest", held_bytes,
+      memory_->limiter().max_incomplete_bytes());
+  close_largest_incomplete(bytes_to_free, reading);
+  const std::size_t left_bytes = memory_->held_bytes(dispatch::MemoryUse::kIncomplete);
+  return memory_->limiter().incomplete_bytes_to_free(left_bytes) == 0;
+}
+
+// Closes connections whose incomplete request takes more than that of the connection being read.
+void HttpServer::close_largest_incomplete(std::size_t bytes_to_free, const ClientState& reading) {
+  std::vector<std::pair<std::size_t, ClientState*>> by_size;
   for (auto& [connection, client] : clients_) {
-    if (!client->request && client->request_began_at) {
-      by_size.emplace_back(client->incomplete_bytes, connection);
-    }
+    if (client->request || !client->request_began_at) continue;
+    if (client->incomplete_memory.bytes() <= reading.incomplete_memory.bytes()) continue;
+    by_size.emplace_back(client->incomplete_memory.bytes(), client.get());
   }
   std::sort(by_size.rbegin(), by_size.rend());
-  log("clients", "incomplete requests take %zu bytes, the limit is %zu: closing the largest",
-      incomplete_bytes_, max_incomplete_bytes_);
-  for (const auto& [bytes, connection] : by_size) {
-    if (incomplete_bytes_ <= max_incomplete_bytes_) return;
-    reject_incomplete(*clients_.at(connection));
-    evhttp_connection_free(connection);  // calls on_closed()
-  }
-}
-
-// Sends a response before the connection of a client that has sent part of a request is closed. Without a
-// response the client would assume that the broker failed while it handled the request. No output is pending
-// ahead of the response; bytes that the kernel doesn't accept at once are dropped.
-void HttpServer::reject_incomplete(const ClientState& client) {
-  if (!client.request_began_at) return;
-  const std::string body = "the request came too slowly; nothing of it was used";
-  const std::string response =
-      "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\nConnection: "
-      "close\r\nContent-Length: " +
-      std::to_string(body.size()) + "\r\n\r\n" + body;
-  const int fd = socket_of(client.connection);
-  if (send(fd, response.data(), response.size(), MSG_DONTWAIT | MSG_NOSIGNAL) < 0) {
-    log("clients", "the response to an incomplete request was not sent: %s", std::strerror(errno));
+  std::size_t freed_bytes = 0;
+  for (const auto& [bytes, client] : by_size) {
+    if (freed_bytes >= bytes_to_free) return;
+    freed_bytes += bytes;
+    close_incomplete(*client, kNoRoom);
   }
 }
 
+// Closes a connection; if it has sent a part of a request, with a response. Without one the client would
+// assume that the broker failed while it handled the request. No output is pending ahead of the response;
+// bytes that the kernel doesn't accept at once are dropped.
+void HttpServer::close_incomplete(ClientState& client, const char* reason) {
+  if (client.request_began_at) {
+    const std::string body = reason;
+    const std::string response =
+        "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\nConnection: "
+        "close\r\nContent-Length: " +
+        std::to_string(body.size()) + "\r\n\r\n" + body;
+    const int fd = socket_of(client.connection);
+    if (send(fd, response.data(), response.size(), MSG_DONTWAIT | MSG_NOSIGNAL) < 0) {
+      log("clients", "the response to an incomplete request was not sent: %s", std::strerror(errno));
+    } else {
+      lingering_sockets_.add(FileDescriptor(dup(fd)));
+    }
+  }
+  evhttp_connection_free(client.connection);  // calls on_closed()
+}
+
 template <class Predicate>
 void HttpServer::close_where(Predicate predicate) {
-  std::vector<evhttp_connection*> to_close;
+  std::vector<ClientState*> to_close;
   for (auto& [connection, client] : clients_) {
-    if (predicate(*client) && !is_about_to_read(connection)) to_close.push_back(connection);
-  }
-  for (evhttp_connection* connection : to_close) {
-    reject_incomplete(*clients_.at(connection));
-    evhttp_connection_free(connection);  // calls on_closed()
+    if (predicate(*client) && !is_about_to_read(connection)) to_close.push_back(client.get());
   }
+  for (ClientState* client : to_close) close_incomplete(*client, kTooSlow);
 }
 
 // Returns how long the request just read has waited since its last byte arrived, behind another request or
@@ -541,10 +619,7 @@
   client.request = http_request;
   client.has_sent_request = true;
   client.request_began_at = 0;
-  const std::size_t unparsed_bytes = input_length(client.connection);
-  const std::size_t request_bytes =
-      client.incomplete_bytes - std::min(client.incomplete_bytes, unparsed_bytes);
-  client.set_incomplete_bytes(unparsed_bytes);
+  client.begin_request();
   const Time waited = waiting_time(client);
   watch_for_departure(client);
   // No attempt may be sent for a client that has disconnected. The departure event closes the connection.
@@ -601,9 +676,11 @@
   }
   if (!client.request) return;  // the response has been sent
   client.abandon = std::move(abandon);
-  // The frontend has copied what it needs of the body. libevent keeps the head until the response is written.
+  // The frontend has copied what it needs of the body and the fields. libevent keeps the rest of the head
+  // until the response is written.
   evbuffer_drain(body, body_length);
-  client.request_memory.resize(request_bytes - std::min(request_bytes, body_length));
+  drop_header_fields(http_request);
+  client.request_memory.resize(kTargetCopies * std::strlen(evhttp_request_get_uri(http_request)));
 }
 
 // Watches the socket for the client's disconnection, which evhttp doesn't notice because it doesn't read
--- a/src/frontend/http/http_server.h
+++ b/src/frontend/http/http_server.h
@@ -10,8 +10,11 @@
 #include <vector>
 
 #include "base/timer.h"
+#include "frontend/http/lingering_sockets.h"
 #include "frontend/platform/request_parser.h"
 
+struct evbuffer;
+struct evbuffer_cb_info;
 struct evconnlistener;
 struct bufferevent;
 struct evhttp;
@@ -42,11 +45,11 @@
   //                             a higher one
   // @param max_idle             limit of connections that had a request and have none in flight; beyond it
   //                             the connections idle longest are closed first
-  // @param max_incomplete_bytes limit of the bytes of incomplete requests, over all connections
-  // @param memory               the account in which responses are reserved until they are written
+  // @param memory               the account in which requests are reserved from their first byte on, and
+  //                             responses until they are written; its limiter bounds incomplete requests
   // @throws std::runtime_error if the address is invalid or can't be bound
   HttpServer(event_base* base, const std::string& listen_address, int pause_at_descriptor,
-             std::size_t max_idle, std::size_t max_incomplete_bytes, platform::RequestParser& request_parser,
+             std::size_t max_idle, platform::RequestParser& request_parser,
              dispatch::RequestDispatcher& dispatcher, std::shared_ptr<dispatch::ClientMemory> memory);
   ~HttpServer();
 
@@ -80,14 +83,16 @@
   void update_accepting();
   void sweep();
   bool has_timed_out(const ClientState& client) const;
-  static void reject_incomplete(const ClientState& client);
+  void adopt_new_connections();
+  void close_incomplete(ClientState& client, const char* reason);
   bool closes_after_response(const ClientState& client) const;
   void defer_early_bytes(ClientState& client);
   void check_early_bytes();
   template <class Predicate>
   void close_where(Predicate predicate);
-  void limit_incomplete_requests();
-  void sweep_if_over_limit();
+  bool has_room_for(const ClientState& reading);
+  void close_largest_incomplete(std::size_t bytes_to_free, const ClientState& reading);
+  static void on_first_bytes(evbuffer* input, const evbuffer_cb_info* info, void* context);
 
   // For the listener's error callback.
   static inline HttpServer* accepting_server_ = nullptr;
@@ -96,8 +101,6 @@
   evconnlistener* listener_ = nullptr;
   int pause_at_descriptor_;
   std::size_t max_idle_;
-  std::size_t max_incomplete_bytes_;
-  std::size_t incomplete_bytes_ = 0;  // bytes of incomplete requests, over all connections
   Timer sweep_timer_;
   Timer early_bytes_timer_;  // checks whether clients that sent early bytes have disconnected
   Timer resume_timer_;       // enables the listener again after a failed accept
@@ -109,7 +112,7 @@
   std::vector<bufferevent*> new_connections_;
   std::map<evhttp_connection*, std::unique_ptr<ClientState>> clients_;
   Time stopped_accepting_at_ = 0;
-  bool is_sweep_due_ = false;  // in this or the next turn, as incomplete_bytes_ is over its limit
+  LingeringSockets lingering_sockets_;  // of clients whose request was rejected before it was complete
   bool is_paused_ = false;
   bool closes_after_responses_ = false;
   bool has_stopped_accepting_ = false;
--- a/src/policy/memory_limiter.h
+++ b/src/policy/memory_limiter.h
@@ -16,6 +16,13 @@
 
   // Returns whether a new request may start. A request that is rejected here has made no attempt.
   bool admits_request(std::size_t held_bytes) const { return held_bytes < max_request_bytes_; }
+  // Returns the bytes that incomplete requests must give back, so that clients that never end their requests
+  // leave memory for others; 0 while they are within their bound. More than the excess, so that they are not
+  // looked through at each byte that comes.
+  // @param incomplete_bytes bytes of requests that have not been read completely, which are part of the held
+  //                         bytes
+  std::size_t incomplete_bytes_to_free(std::size_t incomplete_bytes) const;
+  std::size_t max_incomplete_bytes() const { return max_incomplete_bytes_; }
   // Returns whether a value of this size may be kept for a request in flight. Its bound is higher than that
   // of new requests, so that requests in flight can be completed.
   bool admits_value(std::size_t held_bytes, std::size_t value_bytes) const;
@@ -29,6 +36,7 @@
 
  private:
   std::size_t max_batch_bytes_;
+  std::size_t max_incomplete_bytes_;
   std::size_t max_request_bytes_;
   std::size_t max_received_bytes_;
   std::size_t max_held_bytes_;
--- a/src/server/broker.cpp
+++ b/src/server/broker.cpp
@@ -31,8 +31,6 @@
 constexpr std::size_t kEndpointDescriptorDivisor = 4;
 // Divides all descriptors; idle clients may hold the quotient.
 constexpr std::size_t kIdleClientDivisor = 8;
-// Divides the memory limit; requests that have not been read completely may take the quotient.
-constexpr std::size_t kIncompleteRequestDivisor = 8;
 // Limits the text of a discovery answer. A fraction of the memory limits it too, because the parsed answer
 // takes several times as much memory as the text.
 constexpr std::size_t kMaxListBytes = std::size_t{4} << 20;
@@ -134,8 +132,7 @@
                 dispatcher.run_actions();
               }),
         http_server(base, initial.listen_address, accept_limit(initial),
-                    initial.max_descriptors / kIdleClientDivisor,
-                    initial.memory_bytes / kIncompleteRequestDivisor, request_parser, dispatcher, memory),
+                    initial.max_descriptors / kIdleClientDivisor, request_parser, dispatcher, memory),
         config(initial),
         shutdown_timer(base, [this] { continue_shutdown(); }) {
     settings::apply(initial.settings, policy);
--- /dev/null
+++ b/tests/incomplete_requests_test.cpp
@@ -0,0 +1,289 @@
+// Requests that are not complete take no more memory than their bound allows, whatever they are made of, and
+// sound clients beside them are served. Guards against the failure of
+// docs/incidents/heads-past-the-memory-limit.md.
+//
+// The program under test is named by the environment (CAIRNHUB_PROGRAM); the test of the account runs the
+// broker in this process.
+#include <event2/event.h>
+#include <gtest/gtest.h>
+#include <netinet/tcp.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "dispatch/in_flight_requests.h"
+#include "server/broker.h"
+#include "stand_ins/large_answer_host.h"
+#include "stand_ins/node.h"
+#include "stand_ins/world.h"
+
+using namespace cairnhub::stand_ins;
+using Deployment = cairnhub::stand_ins::Setup;  // testing::Test has a member of the other name
+
+namespace {
+
+#ifdef __SANITIZE_ADDRESS__
+constexpr bool kMemoryIsItsOwn = false;  // the sanitizer keeps what is freed
+#else
+constexpr bool kMemoryIsItsOwn = true;
+#endif
+
+constexpr int kMemoryMb = 32;  // the least that is supported
+constexpr long kKbPerMb = 1024;
+constexpr int kClients = 600;
+constexpr int kShortFields = 3700;  // 4 bytes each: close to the longest head that is read
+constexpr std::size_t kDocumentBytes = 200;
+
+const char* const kOptions =
+    "search { flavor: \"s\" index { name: \"register\" blocks: 1 op_type: \"all\" timeout_ms: 30000 } }\n";
+
+std::string short_fields(int count) {
+  std::string fields;
+  for (int i = 0; i < count; ++i) fields += "a:b\n";
+  return fields;
+}
+
+std::string search_request() {
+  return "POST /register/_search HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: "
+         "2\r\n\r\n{}";
+}
+
+// Writes without waiting; what the program doesn't take, or has refused, is dropped.
+void write_some(const Client& client, const std::string& bytes) {
+  static_cast<void>(send(client.peer.fd, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT));
+}
+
+// Reads to the end of the connection. Returns what has come.
+std::string read_to_end(Client& client) {
+  while (client.peer.more()) continue;
+  return client.peer.in;
+}
+
+// Expects that the process has never taken more than its memory limit, what it shares with others included.
+void expect_process_within_limit(pid_t process) {
+  std::ifstream status("/proc/" + std::to_string(process) + "/status");
+  long peak_kb = -1;
+  for (std::string line; std::getline(status, line);) {
+    if (line.rfind("VmHWM:", 0) == 0) peak_kb = std::atol(line.c_str() + 6);
+  }
+  std::printf("the process has taken %ld kB at most\n", peak_kb);
+  EXPECT_GT(peak_kb, 0);
+  if (kMemoryIsItsOwn) {
+    EXPECT_LE(peak_kb, kMemoryMb * kKbPerMb);
+  }
+}
+
+// The program as a process, with a host of search answers.
+class IncompleteRequests : public testing::Test {
+ protected:
+  IncompleteRequests() {
+    program = std::getenv("CAIRNHUB_PROGRAM") ? std::getenv("CAIRNHUB_PROGRAM") : "";
+    host = std::make_unique<LargeAnswerHost>(1, kDocumentBytes);
+    world = std::make_unique<World>(Deployment{
+        .sockets = 1024, .memory_mb = kMemoryMb, .budget = "60", .options = kOptions, .flavors = "s"});
+    world->ready();
+  }
+
+  void expect_sound_client_is_served() const {
+    Client sound;
+    sound.peer.write(search_request());
+    EXPECT_EQ(sound.reads().substr(0, 4), "200 ");
+  }
+  // Connects clients that write the beginning of a request and no more; now and then a sound one asks between
+  // them.
+  void connect_clients(const std::string& beginning) {
+    for (int i = 0; i < kClients; ++i) {
+      clients.push_back(std::make_unique<Client>());
+      write_some(*clients.back(), beginning);
+      if (i % 50 == 49) expect_sound_client_is_served();
+    }
+  }
+  // Each client whose request was begun and not finished is told so once, and nothing else.
+  void expect_each_is_told_once() {
+    for (const auto& client : clients) {
+      const std::string told = read_to_end(*client);
+      EXPECT_EQ(told.substr(0, 33), "HTTP/1.1 503 Service Unavailable\r") << told;
+      EXPECT_EQ(told.find("HTTP/1.1", 1), std::string::npos);
+    }
+  }
+  void expect_within_limit() const { expect_process_within_limit(world->pid); }
+
+  std::unique_ptr<LargeAnswerHost> host;
+  std::unique_ptr<World> world;
+  std::vector<std::unique_ptr<Client>> clients;
+};
+
+// Once took 245 MB.
+TEST_F(IncompleteRequests, HeadsOfShortFieldsStayWithinTheLimit) {
+  connect_clients("POST /all HTTP/1.1\r\n" + short_fields(kShortFields));
+  expect_each_is_told_once();
+  expect_sound_client_is_served();
+  expect_within_limit();
+}
+
+// Once took 234 MB.
+TEST_F(IncompleteRequests, FinishedHeadsWithoutBodiesStayWithinTheLimit) {
+  connect_clients("POST /all HTTP/1.1\r\nContent-Length: 60000\r\n" + short_fields(kShortFields) + "\r\n");
+  expect_each_is_told_once();
+  expect_sound_client_is_served();
+  expect_within_limit();
+}
+
+// Each piece that is read apart takes a block of its own. Once took 90 MB with eight clients in three
+// seconds.
+TEST_F(IncompleteRequests, ChunksOfOneByteStayWithinTheLimit) {
+  constexpr int kChunks = 8000;
+  for (int i = 0; i < 8; ++i) {
+    clients.push_back(std::make_unique<Client>());
+    const int on = 1;
+    setsockopt(clients.back()->peer.fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    write_some(*clients.back(), "POST /all HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+  }
+  for (int i = 0; i < kChunks; ++i) {
+    for (const char* piece : {"1\r\n", "x", "\r\n"}) {
+      for (const auto& client : clients) write_some(*client, piece);
+    }
+  }
+  expect_sound_client_is_served();
+  expect_each_is_told_once();
+  expect_within_limit();
+}
+
+TEST_F(IncompleteRequests, TrailersOfShortFieldsStayWithinTheLimit) {
+  connect_clients("POST /all HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" +
+                  short_fields(kShortFields));
+  expect_each_is_told_once();
+  expect_sound_client_is_served();
+  expect_within_limit();
+}
+
+// Requests that are whole and wait for their host keep no fields, so that they leave room for others.
+TEST(RequestsInFlight, RequestsInFlightDontKeepTheirFields) {
+  constexpr int kRequests = 60;
+  program = std::getenv("CAIRNHUB_PROGRAM") ? std::getenv("CAIRNHUB_PROGRAM") : "";
+  Node node(1);
+  World world(Deployment{.sockets = 1024, .memory_mb = kMemoryMb, .budget = "60"});
+  world.ready();
+  std::vector<std::unique_ptr<Client>> clients;
+  std::vector<std::string> calls;
+  for (int i = 0; i < kRequests; ++i) {
+    std::string request = Client::request("q" + std::to_string(i), "all", Client::parts({0}), "30");
+    request.insert(request.find("Host:"), short_fields(kShortFields));
+    clients.push_back(std::make_unique<Client>());
+    clients.back()->peer.write(request);
+    calls.push_back(node.reads(false));
+  }
+  expect_process_within_limit(world.pid);
+  for (const std::string& call : calls) node.hits(call, "5be2");
+  for (const auto& client : clients) EXPECT_EQ(client->reads().substr(0, 4), "200 ");
+}
+
+// A client that writes its request slowly, but within the time allowed, beside clients that never end theirs.
+class SlowClient : public IncompleteRequests {
+ protected:
+  static constexpr int kBodyBytes = 20000;
+  void write_first_half() {
+    slow.peer.write(
+        "POST /register/_search HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\n"
+        "Content-Length: " +
+        std::to_string(kBodyBytes) + "\r\n\r\n{" + std::string(kBodyBytes / 2 - 1, ' '));
+  }
+  void write_second_half() { slow.peer.write(std::string(kBodyBytes / 2 - 1, ' ') + "}"); }
+  Client slow;
+};
+
+TEST_F(SlowClient, SlowClientBeforeTheOthersIsServed) {
+  write_first_half();
+  connect_clients("POST /all HTTP/1.1\r\n" + short_fields(kShortFields));
+  write_second_half();
+  EXPECT_EQ(slow.reads().substr(0, 4), "200 ");
+}
+
+TEST_F(SlowClient, SlowClientAfterTheOthersIsServed) {
+  connect_clients("POST /all HTTP/1.1\r\n" + short_fields(kShortFields));
+  write_first_half();
+  expect_sound_client_is_served();
+  write_second_half();
+  EXPECT_EQ(slow.reads().substr(0, 4), "200 ");
+}
+
+// The broker in this process, so that its account can be read.
+class IncompleteRequestAccount : public testing::Test {
+ protected:
+  IncompleteRequestAccount()
+      : base_(event_base_new()),
+        broker_(
+            std::make_unique<cairnhub::server::Broker>(base_, config(), cairnhub::server::BrokerOptions{})) {}
+  ~IncompleteRequestAccount() override {
+    broker_.reset();
+    event_base_free(base_);
+  }
+  static cairnhub::dispatch::Config config() {
+    char name[] = "/tmp/cairnhub-test-XXXXXX";
+    const int file = mkstemp(name);
+    if (file < 0) give_up("no file for the configuration");
+    close(file);
+    std::ofstream(name)
+        << R"({"listen":")" << text(kBroker) << R"(","discovery":")" << text(kDiscovery)
+        << R"(","seed":"1f","limits":{"memory_mb":)" << kMemoryMb
+        << R"(,"sockets":1024},"settings":{"classes":[{"name":"all","promise":30,"deadline":30}],)"
+        << R"("family-info":{"positions":1,"width":1,"ranges":1}}})";
+    cairnhub::dispatch::Config read = cairnhub::dispatch::read_config(name);
+    unlink(name);
+    return read;
+  }
+  std::size_t incomplete_bytes() const {
+    return broker_->in_flight_requests().memory()->held_bytes(cairnhub::dispatch::MemoryUse::kIncomplete);
+  }
+  std::size_t held_bytes() const { return broker_->in_flight_requests().memory()->held_bytes(); }
+  void turn_until(const std::function<bool()>& holds, const char* otherwise) const {
+    for (int i = 0; !holds(); ++i) {
+      if (i == kPatienceMs) give_up(otherwise);
+      event_base_loop(base_, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+      EXPECT_LE(incomplete_bytes(), std::size_t{kMemoryMb} << 17);  // an eighth of the memory
+      poll(nullptr, 0, 1);
+    }
+  }
+
+  Listener discovery_{kDiscovery};
+  event_base* base_;
+  std::unique_ptr<cairnhub::server::Broker> broker_;
+};
+
+// Each way in which an incomplete request ends gives back all that was counted for it.
+TEST_F(IncompleteRequestAccount, RoomIsGivenBackWhole) {
+  const std::string beginning = "POST /all HTTP/1.1\r\nContent-Length: 5\r\n" + short_fields(1000) + "\r\n";
+  {
+    Client leaves;
+    write_some(leaves, beginning);
+    turn_until([&] { return incomplete_bytes() > 0; }, "nothing is counted");
+  }
+  turn_until([&] { return held_bytes() == 0; }, "the room of a client that left is not given back");
+
+  Client finishes;
+  write_some(finishes, beginning);
+  turn_until([&] { return incomplete_bytes() > 0; }, "nothing is counted");
+  write_some(finishes, "[1,2]");
+  turn_until([&] { return readable(finishes.peer.fd, 0); }, "no response");
+  turn_until([&] { return held_bytes() == 0; }, "the room of a finished request is not given back");
+
+  Client too_slow;
+  write_some(too_slow, beginning);
+  turn_until([&] { return readable(too_slow.peer.fd, 0); }, "no response");
+  turn_until([&] { return held_bytes() == 0; }, "the room of a client that was too slow is not given back");
+
+  std::vector<std::unique_ptr<Client>> clients;
+  for (int i = 0; i < 100; ++i) {
+    clients.push_back(std::make_unique<Client>());
+    write_some(*clients.back(), "POST /all HTTP/1.1\r\n" + short_fields(kShortFields));
+  }
+  turn_until([&] { return readable(clients.back()->peer.fd, 0); }, "no response");
+  clients.clear();
+  turn_until([&] { return held_bytes() == 0; }, "the room of rejected requests is not given back");
+}
+
+}  // namespace
