Incomplete messages of other brokers are bounded over all streams

Cause: a message was bounded, the sum of incomplete ones was not.

Evidence: TransportTest.IncompleteMessagesOfManyStreamsStayWithinTheLimit (40 streams, a peer with a key beside them is served); before, none is closed.

--- a/src/transport/incoming_stream.cpp
+++ b/src/transport/incoming_stream.cpp
@@ -20,8 +20,9 @@
   socket.release();  // stream_ closes it
 }
 
-void IncomingStream::start(OnMessage on_message, OnClosed on_closed) {
+void IncomingStream::start(OnMessage on_message, OnIncomplete on_incomplete, OnClosed on_closed) {
   on_message_ = std::move(on_message);
+  on_incomplete_ = std::move(on_incomplete);
   on_closed_ = std::move(on_closed);
   set_timeout(stream_.get(), context_.limits.idle_timeout);
   bufferevent_setcb(stream_.get(), on_readable, nullptr, on_event, this);
@@ -47,6 +48,8 @@
       return;
     }
     if (evbuffer_get_length(input) < kFrameLengthBytes + *frame_bytes) {
+      const OnIncomplete on_incomplete = on_incomplete_;  // a copy: the owner may destroy this stream
+      on_incomplete();
       return;
     }
     evbuffer_drain(input, kFrameLengthBytes);
@@ -60,10 +63,15 @@
       close();
       return;
     }
+    is_authenticated_ = true;
     on_message_(message);
   }
 }
 
+std::size_t IncomingStream::incomplete_bytes() const {
+  return evbuffer_get_length(bufferevent_get_input(stream_.get()));
+}
+
 void IncomingStream::close() {
   const OnClosed on_closed = on_closed_;  // a copy: the owner destroys this stream, and the member with it
   on_closed();
--- a/src/transport/transport.cpp
+++ b/src/transport/transport.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <sodium.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -190,7 +191,25 @@
     on_message_(message.sender, *message.body);
   };
   const auto on_closed = [this, position] { incoming_streams_.erase(position); };
-  (*position)->start(on_message, on_closed);
+  (*position)->start(
+      on_message, [this] { limit_incomplete_messages(); }, on_closed);
+}
+
+// Closes the streams whose incomplete messages take most until the rest is within the limit. Whoever can
+// connect can make this broker buffer messages, so a stream on which no message was authenticated is closed
+// before others.
+void Transport::limit_incomplete_messages() {
+  std::size_t held_bytes = 0;
+  for (const auto& stream : incoming_streams_) held_bytes += stream->incomplete_bytes();
+  while (held_bytes > limits_.max_incomplete_bytes) {
+    const auto closes_later = [](const auto& a, const auto& b) {
+      if (a->is_authenticated() != b->is_authenticated()) return a->is_authenticated();
+      return a->incomplete_bytes() < b->incomplete_bytes();
+    };
+    const auto first = std::max_element(incoming_streams_.begin(), incoming_streams_.end(), closes_later);
+    held_bytes -= (*first)->incomplete_bytes();
+    incoming_streams_.erase(first);
+  }
 }
 
 }  // namespace cairnhub::transport
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -12,6 +12,9 @@
 // - by stream: what was sealed and buffered, and not yet read by the peer, when the stream closes
 // - by stream: a body whose stream closes while it begins to connect
 // - what is pending or queued for a peer when forget_peer() is called
+// - what came: of messages that are incomplete, those that pass TransportLimits::max_incomplete_bytes
+// together;
+//   their streams are closed, the ones without an authenticated message first
 // - what came: a stream frame of no bytes or of more than TransportLimits::max_message_bytes; its stream is
 //   closed.
 //
@@ -79,6 +82,7 @@
   void send_by_stream(const std::string& recipient, const Address& address, const std::string& body);
   bool connect_stream(const std::string& recipient, const Address& address);
   void accept_stream(FileDescriptor socket);
+  void limit_incomplete_messages();
 
   event_base* base_;
   TransportLimits limits_;
--- a/tests/unit/transport/transport_test.cpp
+++ b/tests/unit/transport/transport_test.cpp
@@ -1,6 +1,7 @@
 // Two transports over loopback sockets.
 #include "transport/transport.h"
 
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <gtest/gtest.h>
 
@@ -9,8 +10,11 @@
 #include <string_view>
 #include <vector>
 
+#include "base/address.h"
 #include "base/clock.h"
+#include "base/libevent_handles.h"
 #include "transport/mac_key.h"
+#include "transport/stream_protocol.h"
 #include "transport/transport_error.h"
 
 namespace cairnhub::transport {
@@ -82,6 +86,54 @@
   EXPECT_EQ(received_, (std::vector<Received>{{"first", body}}));
 }
 
+// Connects to an address of a transport, and writes the beginning of a message of a megabyte.
+BuffereventPtr begin_long_message(event_base* base, const char* address_text, std::size_t written_bytes) {
+  Address address;
+  EXPECT_TRUE(parse_address(address_text, address));
+  BuffereventPtr stream(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE));
+  EXPECT_EQ(bufferevent_socket_connect(stream.get(), reinterpret_cast<const sockaddr*>(&address.at),
+                                       address.length),
+            0);
+  const std::string beginning = encode_frame_length(1 << 20) + std::string(written_bytes, 'x');
+  bufferevent_write(stream.get(), beginning.data(), beginning.size());
+  return stream;
+}
+
+// Guards against: whoever can connect makes a broker buffer megabytes on each of hundreds of streams.
+TEST_F(TransportTest, IncompleteMessagesOfManyStreamsStayWithinTheLimit) {
+  constexpr int kStreams = 40;
+  constexpr int kStreamsWithinLimit = 9;  // with 100,004 bytes each
+  TransportLimits limits;
+  limits.max_incomplete_bytes = 1'000'000;
+  const auto first = new_transport("first", kFirstAddress);
+  const auto second = new_transport("second", kSecondAddress, limits);
+  const std::string long_body(100'000, 'x');
+  first->send("second", kSecondAddress, long_body);
+  run_until_received(1);
+  int closed = 0;
+  std::vector<BuffereventPtr> streams;
+  for (int i = 0; i < kStreams; ++i) {
+    streams.push_back(begin_long_message(base_.get(), kSecondAddress, 100'000));
+    bufferevent_setcb(
+        streams.back().get(), nullptr, nullptr,
+        [](bufferevent*, short events, void* count) {
+          if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) ++*static_cast<int*>(count);
+        },
+        &closed);
+    bufferevent_enable(streams.back().get(), EV_READ | EV_WRITE);
+  }
+  const Time deadline = now() + 10 * kSecond;
+  while (closed < kStreams - kStreamsWithinLimit && now() < deadline) {
+    event_base_loop(base_.get(), EVLOOP_NONBLOCK);
+  }
+  EXPECT_EQ(closed, kStreams - kStreamsWithinLimit);
+  // The stream of a peer with a key stays, and is served beside them.
+  first->send("second", kSecondAddress, long_body);
+  run_until_received(2);
+  EXPECT_EQ(received_.size(), 2u);
+  EXPECT_EQ(first->counters().messages_not_sent, 0u);
+}
+
 TEST_F(TransportTest, CountsWhatHasNoAddress) {
   const auto first = new_transport("first", kFirstAddress);
   first->send("second", "nowhere", "body");
