A response is not cut off for the incomplete request behind it

While the bound of incomplete requests is exceeded, a client that pipelines and still reads its response could have the connection closed for the next request: the 503 for it stands in the middle of the response.

Change: a connection with output to be written is passed over.

--- a/src/frontend/http/http_server.cpp
+++ b/src/frontend/http/http_server.cpp
@@ -564,6 +564,7 @@
   std::vector<std::pair<std::size_t, ClientState*>> by_size;
   for (auto& [connection, client] : clients_) {
     if (client->request || !client->request_began_at) continue;
+    if (output_length(connection) > 0) continue;  // the response before would be cut off
     if (client->incomplete_memory.bytes() <= reading.incomplete_memory.bytes()) continue;
     by_size.emplace_back(client->incomplete_memory.bytes(), client.get());
   }
--- a/tests/incomplete_requests_test.cpp
+++ b/tests/incomplete_requests_test.cpp
@@ -198,8 +198,10 @@
     close(file);
     std::ofstream(name)
         << R"({"listen":")" << text(kBroker) << R"(","discovery":")" << text(kDiscovery)
-        << R"(","seed":"1f","limits":{"memory_mb":)" << kMemoryMb
-        << R"(,"sockets":1024},"settings":{"classes":[{"name":"all","promise":30,"deadline":30}],)"
+        << R"(","seed":"1f","limits":{"memory_mb":)" << kMemoryMb << R"(,"sockets":1024},)"
+        << R"("known":{"revision":1,"complete":true,"members":[{"id":"s-1","cell":0,"phase":"in_service",)"
+        << R"("up_since_ms":0,"host_port":")" << text(kNode + 1) << R"("}]},"settings":{)"
+        << R"("ceilings":{"connect-timeout":5},"classes":[{"name":"all","promise":30,"deadline":30}],)"
         << R"("family-info":{"positions":1,"width":1,"ranges":1}}})";
     cairnhub::dispatch::Config read = cairnhub::dispatch::read_config(name);
     unlink(name);
@@ -255,4 +257,65 @@
   turn_until([&] { return held_bytes() == 0; }, "the room of rejected requests is not given back");
 }
 
+// Keeps the system from taking much of what the broker writes to the client.
+void shrink_buffers(const Client& client) {
+  const int small = 4096;
+  setsockopt(client.peer.fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+  sockaddr_in client_address{};
+  socklen_t length = sizeof client_address;
+  getsockname(client.peer.fd, reinterpret_cast<sockaddr*>(&client_address), &length);
+  for (int fd = 0; fd < 1024; ++fd) {
+    sockaddr_in peer{};
+    length = sizeof peer;
+    if (getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &length) == 0 &&
+        peer.sin_port == client_address.sin_port && fd != client.peer.fd) {
+      setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &small, sizeof small);
+    }
+  }
+}
+
+// Guards against: the 503 to an incomplete request is written into the response to the request before it,
+// which its client is still reading.
+TEST_F(IncompleteRequestAccount, ResponseBeforeAnIncompleteRequestIsNotCutOff) {
+  constexpr std::size_t kValueBytes = 60000;
+  Node node(1);
+  Client client;
+  turn_until([&] { return broker_->endpoints().ready_count() == 1; }, "the host is not known");
+  for (int i = 0; i < 10; ++i) event_base_loop(base_, EVLOOP_ONCE | EVLOOP_NONBLOCK);  // accepts the client
+  shrink_buffers(client);
+  // In one read with the request before, and larger than any other incomplete request below.
+  const std::string next_request = "POST /all HTTP/1.1\r\n" + short_fields(900);
+  client.peer.write(Client::request("q1", "all", Client::parts({0}), "20") + next_request);
+  turn_until([&] { return readable(node.door->fd, 0); }, "the host is not connected to");
+  node.accept();
+  turn_until([&] { return readable(node.peer->fd, 0); }, "the host is not asked");
+  const std::string call = node.reads(false);
+  node.peer->write(
+      framed('E', call.substr(1, call.find(' ') - 1) + " hit 7 -\n" + std::string(kValueBytes, 'a')));
+  turn_until([&] { return readable(client.peer.fd, 0); }, "the response doesn't begin");
+  std::vector<std::unique_ptr<Client>> others;
+  bool is_any_refused = false;
+  while (!is_any_refused) {
+    others.push_back(std::make_unique<Client>());
+    write_some(others.back()->peer,
+               "POST /all HTTP/1.1\r\nContent-Length: 60000\r\n\r\n" + std::string(59000, 'x'));
+    const std::size_t held_before = incomplete_bytes();
+    turn_until(
+        [&] { return incomplete_bytes() >= held_before + 59000 || readable(others.front()->peer.fd, 0); },
+        "an incomplete request is not read");
+    for (const auto& other : others) is_any_refused = is_any_refused || readable(other->peer.fd, 0);
+    ASSERT_LT(others.size(), 200u);
+  }
+  std::string response;
+  char some[4096];
+  const auto has_ended = [&] {
+    const ssize_t n = recv(client.peer.fd, some, sizeof some, MSG_DONTWAIT);
+    if (n > 0) response.append(some, static_cast<std::size_t>(n));
+    return n == 0 || response.find("HTTP/1.1", 1) != std::string::npos;
+  };
+  turn_until(has_ended, "the response doesn't end");
+  EXPECT_EQ(response.rfind("HTTP/1.1 200 ", 0), 0u);
+  EXPECT_GE(response.substr(0, response.find("HTTP/1.1", 1)).size(), kValueBytes);
+}
+
 }  // namespace
