--- a/src/frontend/http/http_server.cpp
+++ b/src/frontend/http/http_server.cpp
@@ -203,7 +203,7 @@
     bufferevent_disable(bev, EV_READ);
     evbuffer_drain(bufferevent_get_input(bev), evbuffer_get_length(bufferevent_get_input(bev)));
     incomplete_memory.resize(bytes_before_read);
-    server->sweep_timer_.start(0);
+    server->request_sweep();
   }
 };
 
@@ -412,7 +412,7 @@
           auto* server = static_cast<HttpServer*>(context);
           server->update_accepting();
           if (!bev) return;
-          if (server->new_connections_.empty()) server->sweep_timer_.start(0);
+          server->request_sweep();
           server->new_connections_.push_back(bev);
           bufferevent_incref(bev);
           evbuffer_add_cb(bufferevent_get_input(bev), on_first_bytes, server);
@@ -502,8 +502,15 @@
   });
 }
 
+// Starts the timer only once: a timer restarted in the turn in which it is due isn't called in that turn, and
+// with bytes or connections arriving in every turn it would never be called.
+void HttpServer::request_sweep() {
+  if (!std::exchange(is_sweep_due_, true)) sweep_timer_.start(0);
+}
+
 // Closes the connections that have timed out or exceed a limit.
 void HttpServer::sweep() {
+  is_sweep_due_ = false;
   adopt_new_connections();
   update_accepting();
   std::vector<ClientState*> without_room;
--- a/src/frontend/http/http_server.h
+++ b/src/frontend/http/http_server.h
@@ -81,6 +81,7 @@
   void watch_for_departure(ClientState& client);
   void on_closed(evhttp_connection* connection);
   void update_accepting();
+  void request_sweep();
   void sweep();
   bool has_timed_out(const ClientState& client) const;
   void adopt_new_connections();
@@ -113,6 +114,7 @@
   std::map<evhttp_connection*, std::unique_ptr<ClientState>> clients_;
   Time stopped_accepting_at_ = 0;
   LingeringSockets lingering_sockets_;  // of clients whose request was rejected before it was complete
+  bool is_sweep_due_ = false;           // in this or the next turn
   bool is_paused_ = false;
   bool closes_after_responses_ = false;
   bool has_stopped_accepting_ = false;
