A search is answered by its own response alone, whatever a host sends beside it

Cause: nothing owned the question which response belongs to which attempt. HTTP tells responses on a connection apart by order alone; SearchClient kept a connection with bytes behind a response in its input, and the library read them as the response to the next search.

Change: each attempt states an X-Opaque-Id of its own, as hosts of the published API return it. A response under another id is no response: its attempt fails as one that may have run, and the connection ends. A connection is kept only if its last response stated the id and nothing has come since, by a look before reuse; a host that returns no id gets one search a connection, and is told so by Connection: close. Bytes before a search's first byte has gone out cost a connection, not the attempt: it takes another. After a response under another id the host gets one search a connection for a minute, so that a host that repeats each response costs an attempt, not one a search. The connection is a class of its own (SearchConnection).

--- a/src/backend/opensearch/search_client.cpp
+++ b/src/backend/opensearch/search_client.cpp
@@ -1,22 +1,24 @@
 #include "backend/opensearch/search_client.h"
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <event2/http.h>
 
 #include <algorithm>
 #include <utility>
 
-#include "backend/buffer_memory.h"
+#include "backend/opensearch/search_connection.h"
 #include "base/clock.h"
-#include "base/http_message_memory.h"
-#include "base/sockets.h"
 
 namespace cairnhub::backend {
 
 namespace {
 
-constexpr std::size_t kMaxHeaderBytes = 16384;
+// How long an endpoint gets one request a connection after it has sent the response to another request.
+constexpr Time kSingleRequestPeriod = 60 * kSecond;
+
+dispatch::AttemptEnd end_of_status(int status) {
+  if (status == 200) return dispatch::AttemptEnd::kReturned;
+  return status == 429 || status == 503 ? dispatch::AttemptEnd::kQueueFull : dispatch::AttemptEnd::kError;
+}
 
 }  // namespace
 
@@ -28,61 +30,11 @@
 };
 
 struct SearchClient::Connection {
-  explicit Connection(const std::shared_ptr<dispatch::ClientMemory>& memory)
-      : output_memory(memory, dispatch::MemoryUse::kRequests),
-        response_memory(memory, dispatch::MemoryUse::kReceived) {}
-
-  SearchClient* client = nullptr;
   EndpointPool* pool = nullptr;
-  evhttp_connection* http = nullptr;
-  evhttp_request* request = nullptr;
+  std::unique_ptr<SearchConnection> http;
   InFlightAttempt* in_flight = nullptr;
-  // Bytes of the current request.
-  std::size_t queued_bytes = 0, written_bytes = 0;
-  std::size_t received_bytes = 0;
-  BufferMemory output_memory;
-  HttpMessageMemory response_message = {};      // the response, as the parser keeps it
-  dispatch::MemoryReservation response_memory;  // of the response, as far as it has been received
-  bool is_over_limit = false;                   // has received bytes while the memory was exhausted
-  bool has_dropped_input = false;               // so that the response can't be completed
-  int error = -1;                               // evhttp_request_error, or -1
+  bool is_over_limit = false;  // has received bytes while the memory was exhausted
   Time idle_since = 0;
-
-  static void count_output(evbuffer*, const evbuffer_cb_info* info, void* context) {
-    Connection& connection = *static_cast<Connection*>(context);
-    connection.queued_bytes += info->n_added;
-    connection.written_bytes += info->n_deleted;
-  }
-  // Called before the parser gets the bytes, so that a response that finds no room is not parsed further.
-  static void count_input(evbuffer*, const evbuffer_cb_info* info, void* context) {
-    if (info->n_added == 0) return;
-    auto& connection = *static_cast<Connection*>(context);
-    connection.client->record_received(connection, info->n_added);
-  }
-  // Keeps the response from being read on, until its attempt is aborted.
-  void drop_input() const {
-    bufferevent* bev = evhttp_connection_get_bufferevent(http);
-    bufferevent_disable(bev, EV_READ);
-    evbuffer_drain(bufferevent_get_input(bev), evbuffer_get_length(bufferevent_get_input(bev)));
-  }
-  void attach() {
-    bufferevent* bev = evhttp_connection_get_bufferevent(http);
-    evbuffer_add_cb(bufferevent_get_output(bev), count_output, this);
-    evbuffer_add_cb(bufferevent_get_input(bev), count_input, this);
-    output_memory.attach(bufferevent_get_output(bev));
-  }
-  void detach() {
-    bufferevent* bev = evhttp_connection_get_bufferevent(http);
-    evbuffer_remove_cb(bufferevent_get_output(bev), count_output, this);
-    evbuffer_remove_cb(bufferevent_get_input(bev), count_input, this);
-    output_memory.detach(bufferevent_get_output(bev));
-  }
-  bool is_fully_written() const { return queued_bytes > 0 && written_bytes >= queued_bytes; }
-  dispatch::WriteProgress write_progress() const {
-    return queued_bytes == 0 || written_bytes == 0 ? dispatch::WriteProgress::kNotConnected
-           : is_fully_written()                    ? dispatch::WriteProgress::kFullyWritten
-                                                   : dispatch::WriteProgress::kPartlyWritten;
-  }
 };
 
 struct SearchClient::EndpointPool {
@@ -92,6 +44,13 @@
   std::vector<std::unique_ptr<Connection>> connections;
   std::deque<InFlightAttempt*> waiting;
   std::vector<InFlightAttempt*> to_flush;
+  // Whether the last response stated the id of its request. Where it didn't, nothing tells the responses on
+  // one connection apart.
+  bool returns_ids = true;
+  Time single_request_until = 0;
+
+  // Returns whether each connection carries one request only.
+  bool has_single_request_connections() const { return !returns_ids || now() < single_request_until; }
 };
 
 SearchClient::SearchClient(event_base* base, SearchClientLimits limits,
@@ -102,38 +61,27 @@
       memory_(std::move(memory)),
       on_attempt_ended_(std::move(on_attempt_ended)),
       run_actions_(std::move(run_actions)),
-      cleanup_timer_(base,
-                     [this] {
-                       for (auto& connection : std::exchange(closed_connections_, {}))
-                         if (connection->http) evhttp_connection_free(connection->http);
-                       const Time idle_limit = now() - limits_.idle_timeout;
-                       bool has_connections = false;
-                       for (auto& [id, pool] : pools_) {
-                         std::erase_if(pool->connections, [&](const auto& connection) {
-                           if (connection->in_flight || connection->idle_since > idle_limit) {
-                             has_connections = true;
-                             return false;
-                           }
-                           --open_connections_;
-                           connection->detach();
-                           evhttp_connection_free(connection->http);
-                           return true;
-                         });
-                       }
-                       if (has_connections && !cleanup_timer_.pending())
-                         cleanup_timer_.start(limits_.idle_timeout / 4 + 1);
-                     }),
-      over_limit_timer_(base, [this] { abort_over_limit(); }) {}
-
-SearchClient::~SearchClient() {
-  for (auto& connection : closed_connections_)
-    if (connection->http) evhttp_connection_free(connection->http);
-  for (auto& [id, pool] : pools_)
-    for (auto& connection : pool->connections) {
-      if (connection->request) evhttp_cancel_request(connection->request);
-      connection->detach();
-      evhttp_connection_free(connection->http);
-    }
+      cleanup_timer_(base, [this] { free_unused_connections(); }),
+      over_limit_timer_(base, [this] { abort_over_limit(); }),
+      unexpected_input_timer_(base, [this] { replace_unusable_connections(); }) {}
+
+SearchClient::~SearchClient() = default;
+
+void SearchClient::free_unused_connections() {
+  closed_connections_.clear();
+  const Time idle_limit = now() - limits_.idle_timeout;
+  bool has_connections = false;
+  for (auto& [id, pool] : pools_) {
+    std::erase_if(pool->connections, [&](const auto& connection) {
+      if (connection->in_flight || connection->idle_since > idle_limit) {
+        has_connections = true;
+        return false;
+      }
+      --open_connections_;
+      return true;
+    });
+  }
+  if (has_connections && !cleanup_timer_.pending()) cleanup_timer_.start(limits_.idle_timeout / 4 + 1);
 }
 
 void SearchClient::update_endpoint(EndpointId id, const std::string& name, const Address& address,
@@ -215,117 +163,139 @@
 }
 
 SearchClient::Connection* SearchClient::idle_connection(EndpointPool& pool) {
-  for (auto& connection : pool.connections)
-    if (!connection->in_flight) return connection.get();
-  if (pool.connections.size() >= limits_.max_connections_per_endpoint ||
-      open_connections_ >= limits_.max_connections)
-    return nullptr;
-  auto connection = std::make_unique<Connection>(memory_);
+  std::vector<Connection*> idle;
+  for (auto& connection : pool.connections) {
+    if (!connection->in_flight) idle.push_back(connection.get());
+  }
+  for (Connection* connection : idle) {
+    if (!pool.has_single_request_connections() && connection->http->is_reusable()) return connection;
+    close_connection(*connection);
+  }
+  return open_connection(pool);
+}
+
+SearchClient::Connection* SearchClient::open_connection(EndpointPool& pool) {
+  if (pool.connections.size() >= limits_.max_connections_per_endpoint) return nullptr;
+  if (open_connections_ >= limits_.max_connections) return nullptr;
+  auto opened = std::make_unique<Connection>();
+  Connection* connection = opened.get();
+  connection->pool = &pool;
   connection->http =
-      evhttp_connection_base_bufferevent_new(base_, nullptr, nullptr, pool.host.c_str(), pool.port);
+      SearchConnection::make(base_, pool.host, pool.port, limits_.max_body_bytes, memory_,
+                             {.on_received = [this, connection] { limit_received(*connection); },
+                              // The connection can't be closed from within the read that calls this.
+                              .on_unexpected_input = [this] { unexpected_input_timer_.start(0); },
+                              .on_response =
+                                  [this, connection](evhttp_request* response) {
+                                    handle_response(*connection, response);
+                                    run_actions_();
+                                  }});
   if (!connection->http) return nullptr;
-  connection->client = this;
-  connection->pool = &pool;
-  evhttp_connection_set_max_headers_size(connection->http, kMaxHeaderBytes);
-  evhttp_connection_set_max_body_size(connection->http, static_cast<ev_ssize_t>(limits_.max_body_bytes));
-  evhttp_connection_set_retries(connection->http, 0);
-  connection->attach();
   ++open_connections_;
-  pool.connections.push_back(std::move(connection));
-  return pool.connections.back().get();
+  pool.connections.push_back(std::move(opened));
+  return connection;
 }
 
 void SearchClient::start_request(InFlightAttempt& in_flight, Connection& connection) {
   const dispatch::ShardRequest& shard_request = *in_flight.attempt->shard_request;
   in_flight.connection = &connection;
   connection.in_flight = &in_flight;
-  connection.queued_bytes = 0;
-  connection.written_bytes = 0;
-  connection.received_bytes = 0;
-  connection.response_message.reset();
-  connection.error = -1;
-  connection.request = evhttp_request_new(
-      [](evhttp_request* response, void* context) {
-        guarded("search response", [connection = static_cast<Connection*>(context), response] {
-          SearchClient* client = connection->client;
-          client->handle_response(*connection, response);
-          client->run_actions_();
-        });
-      },
-      &connection);
-  evhttp_request_set_error_cb(connection.request, [](evhttp_request_error error, void* context) {
-    static_cast<Connection*>(context)->error = static_cast<int>(error);
-  });
-  evkeyvalq* headers = evhttp_request_get_output_headers(connection.request);
-  evhttp_add_header(headers, "Host",
-                    (connection.pool->host + ":" + std::to_string(connection.pool->port)).c_str());
-  evhttp_add_header(headers, "Content-Type", "application/json");
-  const std::string& body = shard_request.body ? *shard_request.body : shard_request.request->body;
-  evbuffer_add(evhttp_request_get_output_buffer(connection.request), body.data(), body.size());
-  const timeval timeout{std::max<Time>(0, in_flight.attempt->expires_at - now()) / kSecond + 1, 0};
-  evhttp_connection_set_timeout_tv(connection.http, &timeout);
-  if (evhttp_make_request(connection.http, connection.request, EVHTTP_REQ_POST,
-                          shard_request.http_target.c_str()) != 0) {
-    connection.request = nullptr;  // freed by the failed call
-    finish(in_flight, {dispatch::AttemptEnd::kConnectionLost, dispatch::WriteProgress::kNotConnected, {}});
-    return close_connection(connection);
-  }
-  send_without_delay(bufferevent_getfd(evhttp_connection_get_bufferevent(connection.http)));
+  const bool is_started =
+      connection.http->start({.target = shard_request.http_target,
+                              .body = shard_request.body ? *shard_request.body : shard_request.request->body,
+                              .opaque_id = opaque_ids_.next(),
+                              .timeout = in_flight.attempt->expires_at - now(),
+                              .is_last = connection.pool->has_single_request_connections()});
+  if (is_started) return;
+  finish(in_flight, {dispatch::AttemptEnd::kConnectionLost, dispatch::WriteProgress::kNotConnected, {}});
+  close_connection(connection);
 }
 
 void SearchClient::handle_response(Connection& connection, evhttp_request* response) {
-  connection.request = nullptr;
   InFlightAttempt* in_flight = connection.in_flight;
   if (!in_flight) return;  // cancelled; the connection is being closed
   const int status = response ? evhttp_request_get_response_code(response) : 0;
-  if (status == 0) return handle_failure(connection, connection.error);
+  if (status == 0) return handle_failure(connection, failure_reason(connection));
+  EndpointPool& pool = *connection.pool;
+  if (!connection.http->answers_request(response)) {
+    pool.single_request_until = now() + kSingleRequestPeriod;
+    return handle_failure(connection,
+                          {"response to another request", dispatch::AttemptEnd::kInvalidResponse});
+  }
+  pool.returns_ids = connection.http->states_id(response);
   evbuffer* body = evhttp_request_get_input_buffer(response);
   const std::size_t body_bytes = evbuffer_get_length(body);
   const std::string_view value(body_bytes ? reinterpret_cast<const char*>(evbuffer_pullup(body, -1)) : "",
                                body_bytes);
-  const dispatch::AttemptEnd end = status == 200                    ? dispatch::AttemptEnd::kReturned
-                                   : status == 429 || status == 503 ? dispatch::AttemptEnd::kQueueFull
-                                                                    : dispatch::AttemptEnd::kError;
+  const bool has_excess_input = connection.http->has_excess_input();
+  if (has_excess_input) log("node", "%s: bytes behind a response", pool.name.c_str());
   // An endpoint may refuse a request before reading all of it. If the connection were reused, the endpoint
   // would take the rest for the start of the next request.
-  const bool is_reusable = connection.is_fully_written();
-  EndpointPool& pool = *connection.pool;
-  finish(*in_flight, {end, dispatch::WriteProgress::kFullyWritten, value});
+  const bool is_reusable = pool.returns_ids && !has_excess_input && connection.http->is_fully_written();
+  finish(*in_flight, {end_of_status(status), dispatch::WriteProgress::kFullyWritten, value});
   if (!is_reusable) close_connection(connection);
   start_waiting(pool);
 }
 
-void SearchClient::handle_failure(Connection& connection, int error) {
-  const bool is_invalid = error == EVREQ_HTTP_INVALID_HEADER || error == EVREQ_HTTP_DATA_TOO_LONG ||
-                          error == EVREQ_HTTP_BUFFER_ERROR;
-  log("node", "%s: %s", connection.pool->name.c_str(),
-      is_invalid ? "response is not valid HTTP or too long"
-      : connection.write_progress() == dispatch::WriteProgress::kNotConnected
-          ? "connection refused or not established"
-          : "connection lost during a search");
+SearchClient::Failure SearchClient::failure_reason(const Connection& connection) {
+  const int error = connection.http->error();
+  if (error == EVREQ_HTTP_INVALID_HEADER || error == EVREQ_HTTP_DATA_TOO_LONG ||
+      error == EVREQ_HTTP_BUFFER_ERROR) {
+    return {"response is not valid HTTP or too long", dispatch::AttemptEnd::kInvalidResponse};
+  }
+  if (connection.http->write_progress() == dispatch::WriteProgress::kNotConnected) {
+    return {"connection refused or not established", dispatch::AttemptEnd::kConnectionLost};
+  }
+  return {"connection lost during a search", dispatch::AttemptEnd::kConnectionLost};
+}
+
+// Ends the attempt in flight with its connection.
+void SearchClient::handle_failure(Connection& connection, const Failure& failure) {
+  EndpointPool& pool = *connection.pool;
+  log("node", "%s: %s", pool.name.c_str(), failure.reason);
+  finish(*connection.in_flight, {failure.end, connection.http->write_progress(), {}});
+  close_connection(connection);
+  start_waiting(pool);
+}
+
+// Closes the connections on which bytes were received while no response was due. An attempt of which nothing
+// has been written takes another connection; but a new connection on which an endpoint speaks first fails its
+// attempt, or such an endpoint would be connected to again and again.
+void SearchClient::replace_unusable_connections() {
+  std::vector<Connection*> unusable;
+  for (auto& [id, pool] : pools_) {
+    for (auto& connection : pool->connections) {
+      if (connection->http->has_unexpected_input()) unusable.push_back(connection.get());
+    }
+  }
+  for (Connection* connection : unusable) replace_connection(*connection);
+  run_actions_();
+}
+
+void SearchClient::replace_connection(Connection& connection) {
   EndpointPool& pool = *connection.pool;
-  finish(*connection.in_flight,
-         {is_invalid ? dispatch::AttemptEnd::kInvalidResponse : dispatch::AttemptEnd::kConnectionLost,
-          connection.write_progress(),
-          {}});
+  InFlightAttempt* in_flight = connection.in_flight;
+  if (in_flight && connection.http->request_count() == 1) {
+    return handle_failure(connection,
+                          {"bytes before the first request", dispatch::AttemptEnd::kInvalidResponse});
+  }
+  log("node", "%s: bytes on a connection without a request", pool.name.c_str());
+  if (in_flight) {
+    in_flight->connection = nullptr;
+    connection.in_flight = nullptr;
+    pool.waiting.push_front(in_flight);
+  }
   close_connection(connection);
   start_waiting(pool);
 }
 
-void SearchClient::record_received(Connection& connection, std::size_t bytes) {
-  connection.received_bytes += bytes;
-  const std::size_t memory_before = connection.response_memory.bytes();
-  connection.response_message.record_read(
-      bufferevent_get_input(evhttp_connection_get_bufferevent(connection.http)), bytes);
-  connection.response_memory.resize(connection.response_message.bytes());
+// Called before the parser gets what was received, so that a response that finds no room is not parsed
+// further.
+void SearchClient::limit_received(Connection& connection) {
   if (memory_->admits_received()) return;
   connection.is_over_limit = true;
   // Of a body, one read more is kept at most; of a head, the parser would make many times its bytes.
-  if (connection.response_message.is_in_head()) {
-    connection.drop_input();
-    connection.has_dropped_input = true;
-    connection.response_memory.resize(memory_before);
-  }
+  if (connection.http->is_in_head()) connection.http->drop_response();
   // The connection can't be closed from within the read that calls this.
   if (!std::exchange(is_over_limit_, true)) over_limit_timer_.start(0);
 }
@@ -338,7 +308,7 @@
       if (std::exchange(connection->is_over_limit, false) && connection->in_flight)
         over_limit.push_back(connection->in_flight);
   for (InFlightAttempt* in_flight : over_limit) {
-    if (memory_->admits_received() && !in_flight->connection->has_dropped_input) continue;
+    if (memory_->admits_received() && !in_flight->connection->http->has_dropped_response()) continue;
     log("memory", "exhausted: the response of %s is not read further", in_flight->pool->name.c_str());
     abort_attempt(*in_flight, dispatch::AttemptEnd::kNoMemory);
   }
@@ -356,7 +326,7 @@
   // An attempt that waits to be written, or for its connection, must not be sent after the answer to its
   // request.
   const Connection* connection = it->second->connection;
-  if (!connection || connection->written_bytes == 0)
+  if (!connection || connection->http->written_bytes() == 0)
     abort_attempt(*it->second, dispatch::AttemptEnd::kCancelled);
 }
 
@@ -364,7 +334,7 @@
   Connection* connection = in_flight.connection;
   // libevent keeps writing what it has buffered until the connection is closed, which happens below.
   const dispatch::WriteProgress progress =
-      connection ? connection->write_progress() : dispatch::WriteProgress::kNotConnected;
+      connection ? connection->http->write_progress() : dispatch::WriteProgress::kNotConnected;
   EndpointPool& pool = *in_flight.pool;
   finish(in_flight, {end, progress, {}});
   if (connection) close_connection(*connection);
@@ -378,8 +348,8 @@
   if (in_flight.connection) {
     if (byte_counter_)
       byte_counter_({in_flight.pool->id, in_flight.attempt->account,
-                     static_cast<long long>(in_flight.connection->written_bytes),
-                     static_cast<long long>(in_flight.connection->received_bytes)});
+                     static_cast<long long>(in_flight.connection->http->written_bytes()),
+                     static_cast<long long>(in_flight.connection->http->received_bytes())});
     in_flight.connection->in_flight = nullptr;
     in_flight.connection->idle_since = now();
     if (!cleanup_timer_.pending()) cleanup_timer_.start(limits_.idle_timeout / 4 + 1);
@@ -387,18 +357,13 @@
   Connection* connection = in_flight.connection;
   const auto kept = in_flight_.extract(in_flight.attempt);  // destroyed after the end is reported
   on_attempt_ended_(*in_flight.attempt, result);
-  if (connection) connection->response_memory.resize(0);
+  if (connection) connection->http->release_response_memory();
 }
 
 // Stops all reading and writing on a connection at once. The connection is freed later, outside libevent's
 // callbacks.
 void SearchClient::close_connection(Connection& connection) {
-  if (connection.request) evhttp_cancel_request(std::exchange(connection.request, nullptr));
-  connection.detach();
-  connection.response_memory.resize(0);
-  bufferevent* bev = evhttp_connection_get_bufferevent(connection.http);
-  bufferevent_disable(bev, EV_READ | EV_WRITE);
-  if (const int fd = bufferevent_getfd(bev); fd >= 0) shutdown(fd, SHUT_RDWR);
+  connection.http->close();
   --open_connections_;
   auto& connections = connection.pool->connections;
   const auto it = std::find_if(connections.begin(), connections.end(),
--- a/src/backend/opensearch/search_client.h
+++ b/src/backend/opensearch/search_client.h
@@ -1,6 +1,11 @@
 // Client of endpoints that speak the OpenSearch-style search API: one HTTP/1.1 request for each shard
 // request, on pooled connections. An attempt is cancelled by closing its connection, which such endpoints
-// handle as the client's disconnection. Outcomes, as dispatch::AttemptEnd:
+// handle as the client's disconnection.
+//
+// A connection is reused only if its last response stated the id of its request (response_owner.h) and
+// nothing has been received since. An endpoint whose responses state no id gets one request a connection.
+//
+// Outcomes, as dispatch::AttemptEnd:
 //
 //   200                                  kReturned, with the body as the value
 //   429, 503                             kQueueFull: refused, has not run
@@ -8,20 +13,19 @@
 //   connection refused, or lost          kConnectionLost: may have run only if the request's last byte was
 //                                        written
 //   head or body not HTTP, or too long   kInvalidResponse: may have run
+//   response to another request          kInvalidResponse: may have run
 //   no complete response in time         kTimedOut: may have run only if the request's last byte was written
 //   memory exhausted as it is received   kNoMemory: may have run only if the request's last byte was written
 #pragma once
-#include <event2/util.h>
-
 #include <deque>
 #include <map>
 #include <memory>
 #include <vector>
 
+#include "backend/opensearch/response_owner.h"
 #include "base/timer.h"
 #include "dispatch/backend.h"
 
-struct evhttp_connection;
 struct evhttp_request;
 
 namespace cairnhub::backend {
@@ -59,16 +63,27 @@
   struct EndpointPool;
   struct InFlightAttempt;
 
+  // Why an attempt failed with its connection.
+  struct Failure {
+    const char* reason;  // for the log
+    dispatch::AttemptEnd end;
+  };
+
   void start_request(InFlightAttempt& in_flight, Connection& connection);
-  // Returns an idle connection, or opens one if the limits allow it; null otherwise.
+  // Returns an idle connection that is in order, or opens one if the limits allow it; null otherwise.
   Connection* idle_connection(EndpointPool& pool);
+  Connection* open_connection(EndpointPool& pool);
   void handle_response(Connection& connection, evhttp_request* response);
-  void handle_failure(Connection& connection, int error);
+  static Failure failure_reason(const Connection& connection);
+  void handle_failure(Connection& connection, const Failure& failure);
+  void replace_unusable_connections();
+  void replace_connection(Connection& connection);
   void abort_attempt(InFlightAttempt& in_flight, dispatch::AttemptEnd end);
   void finish(InFlightAttempt& in_flight, const dispatch::AttemptResult& result);
   void close_connection(Connection& connection);
+  void free_unused_connections();
   void start_waiting(EndpointPool& pool);
-  void record_received(Connection& connection, std::size_t bytes);
+  void limit_received(Connection& connection);
   // Ends attempts whose responses arrive while the memory is exhausted, until the rest fits.
   void abort_over_limit();
 
@@ -77,6 +92,7 @@
   std::shared_ptr<dispatch::ClientMemory> memory_;
   AttemptEnded on_attempt_ended_;
   std::function<void()> run_actions_;
+  OpaqueIds opaque_ids_;
   std::size_t open_connections_ = 0;
   std::map<EndpointId, std::unique_ptr<EndpointPool>> pools_;
   std::map<dispatch::Attempt*, std::unique_ptr<InFlightAttempt>> in_flight_;
@@ -85,6 +101,7 @@
   Timer cleanup_timer_;
   bool is_over_limit_ = false;  // the timer below has been started
   Timer over_limit_timer_;
+  Timer unexpected_input_timer_;
 };
 
 // Passes each call to the backend that speaks the endpoint's protocol.
--- a/tests/stand_ins/large_answer_host.cpp
+++ b/tests/stand_ins/large_answer_host.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "stand_ins/http_peer.h"
+
 namespace cairnhub::stand_ins {
 
 namespace {
@@ -10,36 +12,6 @@
 
 constexpr int kDocuments = 10;  // as many as a search asks for by default
 
-// Reads one request with a length. @return false at the end of the connection
-bool read_request(Peer& peer, std::string& head, std::string& body) {
-  const std::string kLength = "Content-Length: ";
-  for (;;) {
-    const auto head_end = peer.in.find("\r\n\r\n");
-    if (head_end != std::string::npos) {
-      const auto stated = peer.in.find(kLength);
-      const std::size_t length = stated < head_end ? std::stoul(peer.in.substr(stated + kLength.size())) : 0;
-      if (peer.in.size() >= head_end + 4 + length) {
-        head = peer.take(head_end + 4);
-        body = peer.take(length);
-        return true;
-      }
-    }
-    char some[16384];
-    const ssize_t n = recv(peer.fd, some, sizeof some, 0);
-    if (n <= 0) return false;
-    peer.in.append(some, static_cast<std::size_t>(n));
-  }
-}
-
-bool send_all(int fd, const std::string& bytes) {
-  for (std::size_t sent = 0; sent < bytes.size();) {
-    const ssize_t n = send(fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
-    if (n <= 0) return false;
-    sent += static_cast<std::size_t>(n);
-  }
-  return true;
-}
-
 std::vector<std::string> ids_of(int block, const std::string& search) {
   const std::string prefix = "s" + std::to_string(block) + "-";
   const json parsed = json::parse(search, nullptr, false);
@@ -92,7 +64,7 @@
   Peer peer(fd);
   std::string head, body;
   const std::string kShard = "_shards:";
-  while (read_request(peer, head, body)) {
+  while (read_http_request(peer, head, body)) {
     const int block = std::atoi(head.c_str() + head.find(kShard) + kShard.size());
     const std::string text = answer(block, body);
     if (!await_turn() ||
