A framed connection carries a name for one shard request only

Seen by callers: a client is served the value made for another client's request of the same X-Txn, where the first is answered while one of its attempts is still out (cancelling not allowed), or where a node sends its result a second time.

Framed nodes answer by name, the platform makes names of the ids that clients choose, and FramedClient took any result of the name for that of the attempt in flight under it. An attempt in flight lost its place in attempts_by_name to the next of its name, whose key then pointed into a request that was freed.

An attempt whose name the connection has carried for another shard request takes another connection; an idle one that can't be used so is replaced, so that a client that repeats its ids doesn't fill the pool. Names on the wire are as before. Further attempts for one shard request share its connection as before.

--- a/src/backend/framed/framed_client.cpp
+++ b/src/backend/framed/framed_client.cpp
@@ -10,6 +10,7 @@
 
 #include "backend/buffer_memory.h"
 #include "backend/framed/frame_codec.h"
+#include "backend/framed/recent_names.h"
 #include "base/clock.h"
 #include "base/sockets.h"
 
@@ -48,6 +49,13 @@
   bool is_buffered() const { return batch && batch->end_offset != 0; }
 };
 
+// Returns whether the attempt is for another shard request of the same name.
+bool FramedClient::has_same_name(const InFlightAttempt& in_flight,
+                                 const dispatch::ShardRequest& shard_request) {
+  const dispatch::ShardRequest& other = *in_flight.attempt->shard_request;
+  return other.id != shard_request.id && other.name == shard_request.name;
+}
+
 struct FramedClient::Connection {
   struct CancelledName {
     std::size_t name_hash;
@@ -84,7 +92,20 @@
   std::deque<CancelledName> cancelled_names;     // oldest first
   std::deque<BufferedSpan> spans;                // oldest first
   std::string last_result_name;
-
+  framed::RecentNames recent_names;
+
+  // Returns whether results on this connection can't be confused with that of the shard request: its name
+  // hasn't been sent, or waits to be sent, for another.
+  bool can_tell_results_of(const dispatch::ShardRequest& shard_request) const {
+    const auto it = attempts_by_name.find(shard_request.name);
+    if (it != attempts_by_name.end() && has_same_name(*it->second, shard_request)) return false;
+    for (const auto& batch : waiting) {
+      for (const InFlightAttempt* in_flight : batch->attempts) {
+        if (has_same_name(*in_flight, shard_request)) return false;
+      }
+    }
+    return !recent_names.has_other(shard_request.name, shard_request.id);
+  }
   const CancelledName* find_cancelled(std::string_view name) const {
     const auto it = std::find_if(cancelled_names.begin(), cancelled_names.end(),
                                  [hash = std::hash<std::string_view>{}(name)](const auto& cancelled) {
@@ -216,8 +237,9 @@
   for (EndpointPool* pool : std::exchange(pools_to_flush_, {})) {
     std::vector<InFlightAttempt*> attempts = std::exchange(pool->to_flush, {});
     for (std::size_t i = 0; i < attempts.size();) {
-      const std::size_t batch_end = std::min(attempts.size(), i + limits_.max_shard_requests_per_batch);
-      Connection* connection = connection_for_batch(*pool);
+      const AttemptSpan remaining = AttemptSpan(attempts).subspan(i);
+      const std::size_t batch_end = i + batch_size(remaining);
+      Connection* connection = connection_for_batch(*pool, remaining.first(batch_end - i));
       if (!connection) {  // at the limit of connections: the endpoint isn't at fault, and nothing has run
         for (; i < batch_end; ++i)
           finish(*attempts[i],
@@ -238,15 +260,41 @@
   }
 }
 
-// Returns, of the connections to the endpoint's current address, the one with the fewest batches if it may
-// carry another batch; otherwise a new connection. If no connection can be opened, returns the one with the
-// fewest batches even though it is full.
-FramedClient::Connection* FramedClient::connection_for_batch(EndpointPool& pool) {
+std::size_t FramedClient::batch_size(AttemptSpan attempts) const {
+  const std::size_t max_size =
+      std::min(attempts.size(), static_cast<std::size_t>(limits_.max_shard_requests_per_batch));
+  for (std::size_t size = 1; size < max_size; ++size) {
+    const dispatch::ShardRequest& next = *attempts[size]->attempt->shard_request;
+    const AttemptSpan batch = attempts.first(size);
+    const bool is_repeated = std::any_of(batch.begin(), batch.end(), [&](const InFlightAttempt* in_flight) {
+      return has_same_name(*in_flight, next);
+    });
+    if (is_repeated) return size;
+  }
+  return max_size;
+}
+
+// Returns, of the connections to the endpoint's current address that can tell the attempts' results from
+// others, the one with the fewest batches if it may carry another batch; otherwise a new connection. If no
+// connection can be opened, returns the one with the fewest batches even though it is full.
+FramedClient::Connection* FramedClient::connection_for_batch(EndpointPool& pool, AttemptSpan attempts) {
+  const auto can_tell_results = [&](const Connection& connection) {
+    return std::all_of(attempts.begin(), attempts.end(), [&](const InFlightAttempt* in_flight) {
+      return connection.can_tell_results_of(*in_flight->attempt->shard_request);
+    });
+  };
   Connection* fewest = nullptr;
-  for (auto& connection : pool.connections)
-    if (connection->address == pool.address && !connection->is_unresponsive() &&
-        (!fewest || connection->batch_count() < fewest->batch_count()) && connection->is_reusable())
-      fewest = connection.get();
+  std::vector<Connection*> replaced;  // idle, or a client that repeats its names would fill the pool
+  for (auto& connection : pool.connections) {
+    if (connection->address != pool.address || connection->is_unresponsive()) continue;
+    if (fewest && connection->batch_count() >= fewest->batch_count()) continue;
+    if (!can_tell_results(*connection)) {
+      if (connection->is_connected && connection->batch_count() == 0) replaced.push_back(connection.get());
+      continue;
+    }
+    if (connection->is_reusable()) fewest = connection.get();
+  }
+  for (Connection* connection : replaced) close_connection(*connection, nullptr);
   if (fewest && fewest->batch_count() < static_cast<std::size_t>(limits_.max_batches_per_connection))
     return fewest;
   if (open_connections_ >= limits_.max_connections && !fewest) close_longest_idle_connection();
@@ -371,6 +419,7 @@
       frame.add(shard_request.name, shard_request.shard, in_flight->attempt->expires_at - now(),
                 shard_request.http_target.empty() ? body : shard_request.http_target + "\n" + body);
       connection.attempts_by_name[shard_request.name] = in_flight;
+      connection.recent_names.add(shard_request.name, shard_request.id);
       if (byte_counter_) payload_ends.push_back(frame.payload_bytes());
     }
     const std::string bytes = frame.encode();
--- a/src/backend/framed/framed_client.h
+++ b/src/backend/framed/framed_client.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -47,7 +48,13 @@
   struct EndpointPool;
   struct InFlightAttempt;
 
-  Connection* connection_for_batch(EndpointPool& pool);
+  // Attempts that are to be sent in one frame.
+  using AttemptSpan = std::span<InFlightAttempt* const>;
+
+  static bool has_same_name(const InFlightAttempt& in_flight, const dispatch::ShardRequest& shard_request);
+  // Returns how many of the attempts, from the first on, one batch may hold.
+  std::size_t batch_size(AttemptSpan attempts) const;
+  Connection* connection_for_batch(EndpointPool& pool, AttemptSpan attempts);
   Connection* open_connection(EndpointPool& pool);
   void close_longest_idle_connection();
   void write_batches(Connection& connection);
