An answer of discovery that comes twice brings back no older list

What a caller could see: an endpoint that drains is used again, until the next change of the list, after an answer of the agent came a second time while a later request waited.

The watch keeps one HTTP connection for one request after another, and took whatever came next on it for the answer to the request in flight; without a cluster a list of any revision is applied.

Change: the connection is replaced before a request if anything has come behind the last answer. On one connection a list of a lower revision than one before it is refused, and the next request goes out on a new connection; one that has the same revision changes nothing. A new connection may bring a lower revision, as of an agent that was started anew.

Test: cross_watch_copied. Before, the watch asked since=2 after the copy, having applied revision 2 over 3; now since=3 on a new connection.

--- a/src/dispatch/discovery_watch.cpp
+++ b/src/dispatch/discovery_watch.cpp
@@ -104,12 +104,22 @@
   next_request_.stop();
   deadline_.stop();
   if (connection_) evhttp_connection_free(std::exchange(connection_, nullptr));
+  connection_revision_ = 0;
+}
+
+bool DiscoveryWatch::has_excess_input() const {
+  bufferevent* bev = evhttp_connection_get_bufferevent(connection_);
+  if (evbuffer_get_length(bufferevent_get_input(bev)) > 0) return true;
+  const int fd = bufferevent_getfd(bev);
+  return fd >= 0 && ready_events(fd, POLLIN) != 0;
 }
 
 void DiscoveryWatch::request_list() {
   // The answer to a failed request may still arrive on its connection, and would be taken for the answer to
   // the new request.
   if (retry_delay_ > 0) stop();
+  // What came behind the last answer would be taken for the answer to this request.
+  if (connection_ && has_excess_input()) stop();
   if (!connection_) {
     connection_ = evhttp_connection_base_bufferevent_new(base_, nullptr, nullptr, host_.c_str(), port_);
     if (!connection_) return next_request_.start(timing_.max_retry_delay);
@@ -153,7 +163,9 @@
   evbuffer* body = evhttp_request_get_input_buffer(request);
   const std::size_t length = evbuffer_get_length(body);
   const char* bytes = length ? reinterpret_cast<const char*>(evbuffer_pullup(body, -1)) : "";
-  return registry_.apply_list({bytes, length});
+  if (const char* error = registry_.apply_list({bytes, length}, connection_revision_)) return error;
+  connection_revision_ = registry_.revision();
+  return nullptr;
 }
 
 void DiscoveryWatch::on_answer(evhttp_request* request) {
--- a/src/dispatch/discovery_watch.h
+++ b/src/dispatch/discovery_watch.h
@@ -69,6 +69,8 @@
   static void on_input(evbuffer* input, const evbuffer_cb_info* info, void* self);
   void on_failure(const char* reason, LastRequest result = LastRequest::kFailed);
   const char* apply_answer(evhttp_request* request);  // returns what is wrong with the answer, or null
+  // Returns whether something has come on the connection behind the last answer, or the agent has closed it.
+  bool has_excess_input() const;
 
   event_base* base_;
   const DiscoveryWatchTiming timing_;
@@ -81,6 +83,9 @@
   EndpointRegistry& registry_;
   std::function<void(bool)> on_update_;
   evhttp_connection* connection_ = nullptr;
+  // Highest revision answered on the connection. An answer that comes a second time may be taken for the
+  // answer to a later request; it must not bring back an older list.
+  std::uint64_t connection_revision_ = 0;
   HttpMessageMemory answer_memory_;  // of the answer being read
   bool is_answer_too_long_ = false;
   Timer next_request_;
--- a/src/dispatch/endpoint_registry.cpp
+++ b/src/dispatch/endpoint_registry.cpp
@@ -56,7 +56,7 @@
 
 }  // namespace
 
-const char* EndpointRegistry::apply_list(std::string_view text) {
+const char* EndpointRegistry::apply_list(std::string_view text, std::uint64_t min_revision) {
   if (has_too_many_values(text, kMaxValues)) return "the list has more than 200000 JSON values";
   if (has_too_many_values(text, max_values_)) return "the list has more JSON values than the memory allows";
   const auto json = nlohmann::json::parse(text, nullptr, false);
@@ -118,6 +118,7 @@
   }
 
   const auto new_revision = revision->get<std::uint64_t>();
+  if (new_revision < min_revision) return "the list is older than one that came before it";
   // An agent that lags, or was started with an older state, would put a drained endpoint back into use.
   if (cluster_ && ((has_list_ && new_revision < revision_) || new_revision < cluster_->min_list_revision())) {
     return "the list is older than the one in use here or in the cluster";
--- a/src/dispatch/endpoint_registry.h
+++ b/src/dispatch/endpoint_registry.h
@@ -35,8 +35,9 @@
       : policy_(policy), updated_(std::move(updated)) {}
 
   // Applies a complete list, or changes to the list. Applies nothing of a malformed list.
+  // @param min_revision a list of a lower revision is refused
   // @return what is wrong with the list, or null
-  const char* apply_list(std::string_view json);
+  const char* apply_list(std::string_view json, std::uint64_t min_revision = 0);
   // From now on, endpoints are withheld as the cluster has agreed, and lists older than a list that the
   // cluster acts on are refused.
   void set_cluster_control(ClusterControl& cluster) { cluster_ = &cluster; }
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -93,6 +93,32 @@
   w.asked();
 }
 
+// An answer comes a second time: with the answer, and once a later request waits. Neither is the answer to
+// that request, and no older list comes back by it. Guards against
+// docs/incidents/another-searches-documents.md.
+void watch_copied() {
+  World w({.cells = 2, .replicas = 2});
+  const auto answer = [](const std::string& list) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list;
+  };
+  w.ready();
+  w.asked();
+  const std::string second = answer(w.list(2, true, "in_service"));
+  w.watch->write(second);
+  w.asked();
+  w.watch->write(answer(w.list(3, false, "terminating", 1)));
+  w.asked();
+  std::printf("the answer of revision 2 comes again\n");
+  w.watch->write(second);
+  w.asked();  // ends with the connection
+  w.asked();
+  std::printf("the answer of revision 4 comes twice at once\n");
+  const std::string fourth = answer(w.list(4, false, "terminating", 1));
+  w.watch->write(fourth + fourth);
+  w.asked();  // ends with the connection
+  w.asked();
+}
+
 void watch_cut_off() {  // an answer without a length is broken off by a reset: a reset is no end of a body
   World w({.cells = 2, .replicas = 2});
   w.ready();
@@ -617,6 +643,7 @@
       {"watch_silent", watch_silent},
       {"watch_endless", watch_endless},
       {"watch_returns", watch_returns},
+      {"watch_copied", watch_copied},
       {"watch_cut_off", watch_cut_off},
       {"watch_down", watch_down},
       {"watch_chunked", watch_chunked},
