--- a/tests/stand_ins/large_answer_host.cpp
+++ b/tests/stand_ins/large_answer_host.cpp
@@ -29,52 +29,28 @@
 }  // namespace
 
 LargeAnswerHost::LargeAnswerHost(int number, std::size_t document_bytes)
-    : filler_(document_bytes, 'x'), door_(kNode + number, 1024) {
-  threads_.emplace_back([this] { accept_connections(); });
-}
+    : filler_(document_bytes, 'x'), threads_(number, [this](Peer& peer) { serve(peer); }) {}
 
 LargeAnswerHost::~LargeAnswerHost() {
   {
     const std::lock_guard<std::mutex> lock(mutex_);
     is_ending_ = true;
-    for (const int fd : connections_) shutdown(fd, SHUT_RDWR);
   }
   changed_.notify_all();
-  shutdown(door_.fd, SHUT_RDWR);
-  threads_.front().join();
-  for (std::size_t i = 1; i < threads_.size(); ++i) threads_[i].join();
-  for (const int fd : connections_) close(fd);
-}
-
-void LargeAnswerHost::accept_connections() {
-  for (;;) {
-    const int fd = accept4(door_.fd, nullptr, nullptr, SOCK_CLOEXEC);
-    const std::lock_guard<std::mutex> lock(mutex_);
-    if (is_ending_) {
-      if (fd >= 0) close(fd);
-      return;
-    }
-    if (fd < 0) continue;
-    connections_.push_back(fd);
-    threads_.emplace_back([this, fd] { serve(fd); });
-  }
 }
 
-void LargeAnswerHost::serve(int fd) {
-  Peer peer(fd);
+void LargeAnswerHost::serve(Peer& peer) {
   std::string head, body;
   const std::string kShard = "_shards:";
   while (read_http_request(peer, head, body)) {
     const int block = std::atoi(head.c_str() + head.find(kShard) + kShard.size());
     const std::string text = answer(block, body);
     if (!await_turn() ||
-        !send_all(fd, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
-                          std::to_string(text.size()) + "\r\n\r\n" + text)) {
+        !send_all(peer.fd, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
+                               std::to_string(text.size()) + "\r\n\r\n" + text)) {
       break;
     }
   }
-  shutdown(fd, SHUT_RDWR);
-  peer.fd = -1;  // closed by the destructor, so that the number isn't used again before
 }
 
 bool LargeAnswerHost::await_turn() {
--- a/tests/stand_ins/large_answer_host.h
+++ b/tests/stand_ins/large_answer_host.h
@@ -5,9 +5,8 @@
 #include <cstddef>
 #include <mutex>
 #include <string>
-#include <thread>
-#include <vector>
 
+#include "stand_ins/connection_threads.h"
 #include "stand_ins/net.h"
 
 namespace cairnhub::stand_ins {
@@ -28,22 +27,19 @@
   int asked();  // number of searches
 
  private:
-  void accept_connections();
-  void serve(int fd);
+  void serve(Peer& peer);
   // Returns once the search's answer may be sent. @return false if the host is ending
   bool await_turn();
   std::string answer(int block, const std::string& search) const;
 
   const std::string filler_;
-  Listener door_;
   std::mutex mutex_;
   std::condition_variable changed_;
   int asked_ = 0;
   int held_from_ = 0;  // 0: none
   int held_only_ = 0;  // 0: none
   bool is_ending_ = false;
-  std::vector<int> connections_;
-  std::vector<std::thread> threads_;
+  ConnectionThreads threads_;
 };
 
 }  // namespace cairnhub::stand_ins
--- a/tests/stand_ins/repeating_search_host.cpp
+++ b/tests/stand_ins/repeating_search_host.cpp
@@ -48,48 +48,14 @@
 }  // namespace
 
 RepeatingSearchHost::RepeatingSearchHost(int number, Repeat repeat, bool returns_ids)
-    : repeat_(repeat), returns_ids_(returns_ids), door_(kNode + number, 1024) {
-  threads_.emplace_back([this] { accept_connections(); });
-}
-
-RepeatingSearchHost::~RepeatingSearchHost() {
-  {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    is_ending_ = true;
-    for (const int fd : connections_) shutdown(fd, SHUT_RDWR);
-  }
-  shutdown(door_.fd, SHUT_RDWR);
-  threads_.front().join();
-  for (std::size_t i = 1; i < threads_.size(); ++i) threads_[i].join();
-  for (const int fd : connections_) close(fd);
-}
-
-int RepeatingSearchHost::connection_count() {
-  const std::lock_guard<std::mutex> lock(mutex_);
-  return static_cast<int>(connections_.size());
-}
+    : repeat_(repeat), returns_ids_(returns_ids), threads_(number, [this](Peer& peer) { serve(peer); }) {}
 
 int RepeatingSearchHost::copies() {
   const std::lock_guard<std::mutex> lock(mutex_);
   return copies_;
 }
 
-void RepeatingSearchHost::accept_connections() {
-  for (;;) {
-    const int fd = accept4(door_.fd, nullptr, nullptr, SOCK_CLOEXEC);
-    const std::lock_guard<std::mutex> lock(mutex_);
-    if (is_ending_) {
-      if (fd >= 0) close(fd);
-      return;
-    }
-    if (fd < 0) continue;
-    connections_.push_back(fd);
-    threads_.emplace_back([this, fd] { serve(fd); });
-  }
-}
-
-void RepeatingSearchHost::serve(int fd) {
-  Peer peer(fd);
+void RepeatingSearchHost::serve(Peer& peer) {
   std::string head, body, last;
   while (read_http_request(peer, head, body)) {
     const std::string response = response_to(head, body);
@@ -101,10 +67,8 @@
       const std::lock_guard<std::mutex> lock(mutex_);
       ++copies_;
     }
-    if (!send_all(fd, bytes)) break;
+    if (!send_all(peer.fd, bytes)) break;
   }
-  shutdown(fd, SHUT_RDWR);
-  peer.fd = -1;  // closed by the destructor, so that the number isn't used again before
 }
 
 std::string RepeatingSearchHost::response_to(const std::string& head, const std::string& body) const {
--- a/tests/stand_ins/repeating_search_host.h
+++ b/tests/stand_ins/repeating_search_host.h
@@ -3,9 +3,8 @@
 #pragma once
 #include <mutex>
 #include <string>
-#include <thread>
-#include <vector>
 
+#include "stand_ins/connection_threads.h"
 #include "stand_ins/net.h"
 
 namespace cairnhub::stand_ins {
@@ -22,29 +21,22 @@
   // Listens at the address of node `number`. @param returns_ids whether responses state the id of their
   // request
   RepeatingSearchHost(int number, Repeat repeat, bool returns_ids);
-  ~RepeatingSearchHost();
-  RepeatingSearchHost(const RepeatingSearchHost&) = delete;
-  RepeatingSearchHost& operator=(const RepeatingSearchHost&) = delete;
 
-  int connection_count();
+  int connection_count() { return threads_.connection_count(); }
   int copies();  // sent so far
 
   // Returns how many documents of a market each block has.
   static int documents_of(const std::string& market) { return market == "north" ? 3 : 5; }
 
  private:
-  void accept_connections();
-  void serve(int fd);
+  void serve(Peer& peer);
   std::string response_to(const std::string& head, const std::string& body) const;
 
   const Repeat repeat_;
   const bool returns_ids_;
-  Listener door_;
   std::mutex mutex_;
-  bool is_ending_ = false;
   int copies_ = 0;
-  std::vector<int> connections_;
-  std::vector<std::thread> threads_;
+  ConnectionThreads threads_;
 };
 
 }  // namespace cairnhub::stand_ins
