A search before whose first byte something comes is ended, not moved to another connection

Found on reading the change again. Moving the attempt put it at the front of the waiting ones and looked for a connection among idle ones, which could close a connection that was in the list of those to be replaced: it would have been closed twice. The attempt now ends as one that can't have run, and the policy makes another; the connections to be closed are looked for one by one.

--- a/src/backend/opensearch/search_client.cpp
+++ b/src/backend/opensearch/search_client.cpp
@@ -63,7 +63,7 @@
       run_actions_(std::move(run_actions)),
       cleanup_timer_(base, [this] { free_unused_connections(); }),
       over_limit_timer_(base, [this] { abort_over_limit(); }),
-      unexpected_input_timer_(base, [this] { replace_unusable_connections(); }) {}
+      unexpected_input_timer_(base, [this] { close_unusable_connections(); }) {}
 
 SearchClient::~SearchClient() = default;
 
@@ -258,33 +258,30 @@
   start_waiting(pool);
 }
 
-// Closes the connections on which bytes were received while no response was due. An attempt of which nothing
-// has been written takes another connection; but a new connection on which an endpoint speaks first fails its
-// attempt, or such an endpoint would be connected to again and again.
-void SearchClient::replace_unusable_connections() {
-  std::vector<Connection*> unusable;
+// Closes the connections on which bytes were received while no response was due, and ends the attempts that
+// were to be written on them.
+void SearchClient::close_unusable_connections() {
+  // Looked for anew each time, because closing one may close others.
+  while (Connection* connection = find_unusable_connection()) close_unusable_connection(*connection);
+  run_actions_();
+}
+
+SearchClient::Connection* SearchClient::find_unusable_connection() {
   for (auto& [id, pool] : pools_) {
     for (auto& connection : pool->connections) {
-      if (connection->http->has_unexpected_input()) unusable.push_back(connection.get());
+      if (connection->http->has_unexpected_input()) return connection.get();
     }
   }
-  for (Connection* connection : unusable) replace_connection(*connection);
-  run_actions_();
+  return nullptr;
 }
 
-void SearchClient::replace_connection(Connection& connection) {
-  EndpointPool& pool = *connection.pool;
-  InFlightAttempt* in_flight = connection.in_flight;
-  if (in_flight && connection.http->request_count() == 1) {
+void SearchClient::close_unusable_connection(Connection& connection) {
+  if (connection.in_flight) {
     return handle_failure(connection,
-                          {"bytes before the first request", dispatch::AttemptEnd::kInvalidResponse});
-  }
-  log("node", "%s: bytes on a connection without a request", pool.name.c_str());
-  if (in_flight) {
-    in_flight->connection = nullptr;
-    connection.in_flight = nullptr;
-    pool.waiting.push_front(in_flight);
+                          {"bytes before a request was written", dispatch::AttemptEnd::kInvalidResponse});
   }
+  log("node", "%s: bytes on a connection without a request", connection.pool->name.c_str());
+  EndpointPool& pool = *connection.pool;
   close_connection(connection);
   start_waiting(pool);
 }
--- a/src/backend/opensearch/search_client.h
+++ b/src/backend/opensearch/search_client.h
@@ -14,6 +14,8 @@
 //                                        written
 //   head or body not HTTP, or too long   kInvalidResponse: may have run
 //   response to another request          kInvalidResponse: may have run
+//   bytes before the request is written  kInvalidResponse: may have run only if the request's last byte was
+//                                        written by then
 //   no complete response in time         kTimedOut: may have run only if the request's last byte was written
 //   memory exhausted as it is received   kNoMemory: may have run only if the request's last byte was written
 #pragma once
@@ -76,8 +78,9 @@
   void handle_response(Connection& connection, evhttp_request* response);
   static Failure failure_reason(const Connection& connection);
   void handle_failure(Connection& connection, const Failure& failure);
-  void replace_unusable_connections();
-  void replace_connection(Connection& connection);
+  void close_unusable_connections();
+  Connection* find_unusable_connection();  // null if there is none
+  void close_unusable_connection(Connection& connection);
   void abort_attempt(InFlightAttempt& in_flight, dispatch::AttemptEnd end);
   void finish(InFlightAttempt& in_flight, const dispatch::AttemptResult& result);
   void close_connection(Connection& connection);
--- a/tests/unit/backend/search_client_test.cpp
+++ b/tests/unit/backend/search_client_test.cpp
@@ -401,6 +401,28 @@
   }
 }
 
+// Noise on two idle connections in one turn of the loop.
+TEST_F(SearchClientTest, NoiseOnSeveralIdleConnectionsAtOnceCostsNoSearch) {
+  Search first("first");
+  Search second("second");
+  send(first);
+  auto connection = accept();
+  send(second);
+  auto other_connection = accept();
+  answer(first, connection, true);
+  answer(second, other_connection, true);
+  connection->write("noise");
+  other_connection->write("noise");
+  EXPECT_TRUE(await_close(*connection));
+  EXPECT_TRUE(await_close(*other_connection));
+  Search third("third");
+  send(third);
+  connection = accept();
+  answer(third, connection, true);
+  EXPECT_TRUE(third.is_returned());
+  EXPECT_EQ(third.value, "third");
+}
+
 // An endpoint that speaks first fails the attempt, which has not been written; it isn't connected to again
 // and again.
 TEST_F(SearchClientTest, EndpointThatSpeaksFirstFailsTheAttempt) {
