Search connection: the id of a response is looked up once; tests share what stood twice

Found on reading the change again; behaviour is the same. answers_request() and states_id() each went through the header fields of every response; id_of() does so once. request_count() had no caller left since. on_unexpected_input() promised that nothing more is written, which doesn't hold where an endpoint speaks before the first request: its response is refused all the same. Tests: the header field is read by stand_ins::header_field, write_if_open() stands once in the fixture; assertions are as before.

--- a/src/backend/opensearch/search_client.cpp
+++ b/src/backend/opensearch/search_client.cpp
@@ -217,12 +217,13 @@
   const int status = response ? evhttp_request_get_response_code(response) : 0;
   if (status == 0) return handle_failure(connection, failure_reason(connection));
   EndpointPool& pool = *connection.pool;
-  if (!connection.http->answers_request(response)) {
+  const ResponseId id = connection.http->id_of(response);
+  if (!connection.http->answers_request(response, id)) {
     pool.single_request_until = now() + kSingleRequestPeriod;
     return handle_failure(connection,
                           {"response to another request", dispatch::AttemptEnd::kInvalidResponse});
   }
-  pool.returns_ids = connection.http->states_id(response);
+  pool.returns_ids = id == ResponseId::kSame;
   evbuffer* body = evhttp_request_get_input_buffer(response);
   const std::size_t body_bytes = evbuffer_get_length(body);
   const std::string_view value(body_bytes ? reinterpret_cast<const char*>(evbuffer_pullup(body, -1)) : "",
--- a/src/backend/opensearch/search_connection.cpp
+++ b/src/backend/opensearch/search_connection.cpp
@@ -115,25 +115,18 @@
   return fd >= 0 && ready_events(fd, POLLIN | POLLRDHUP) == 0;
 }
 
-bool SearchConnection::answers_request(evhttp_request* response) const {
-  if (has_unexpected_input_) return false;
-  switch (compare_response_id(*evhttp_request_get_input_headers(response), opaque_id_)) {
-    case ResponseId::kSame:
-      return true;
-    case ResponseId::kOther:
-      return false;
-    case ResponseId::kAbsent:
-      break;
-  }
+ResponseId SearchConnection::id_of(evhttp_request* response) const {
+  return compare_response_id(*evhttp_request_get_input_headers(response), opaque_id_);
+}
+
+bool SearchConnection::answers_request(evhttp_request* response, ResponseId id) const {
+  if (has_unexpected_input_ || id == ResponseId::kOther) return false;
+  if (id == ResponseId::kSame) return true;
   // An endpoint may refuse a request that it has not read to its end, but it can't have run it.
   const bool can_have_run = is_fully_written() || evhttp_request_get_response_code(response) != kStatusOk;
   return request_count_ == 1 && can_have_run;
 }
 
-bool SearchConnection::states_id(evhttp_request* response) const {
-  return compare_response_id(*evhttp_request_get_input_headers(response), opaque_id_) == ResponseId::kSame;
-}
-
 void SearchConnection::drop_response() {
   has_dropped_response_ = true;
   stop_reading();
--- a/src/backend/opensearch/search_connection.h
+++ b/src/backend/opensearch/search_connection.h
@@ -39,8 +39,7 @@
   struct Callbacks {
     // Bytes of a response have been received, and the parser gets them next.
     std::function<void()> on_received;
-    // Bytes have been received while no response was due. Nothing more is read or written; the connection
-    // can't be used any more.
+    // Bytes have been received while no response was due; the connection can't be used any more.
     std::function<void()> on_unexpected_input;
     // The response is complete, or has failed; then its status is 0, or `response` null.
     std::function<void(evhttp_request* response)> on_response;
@@ -73,12 +72,12 @@
   bool has_unexpected_input() const { return has_unexpected_input_; }
   // Returns whether more has been received than the response that on_response() was told of.
   bool has_excess_input() const;
-  // Returns whether the response answers the request that it was received for. A response that states no id
-  // does so only on a connection that has carried no other request, where it can't be the response to
-  // another.
-  bool answers_request(evhttp_request* response) const;
-  // Returns whether the response states the id of its request.
-  bool states_id(evhttp_request* response) const;
+  // Returns what the response says of the request that it answers.
+  ResponseId id_of(evhttp_request* response) const;
+  // Returns whether the response, of this id, answers the request that it was received for. A response that
+  // states no id does so only on a connection that has carried no other request, where it can't be the
+  // response to another.
+  bool answers_request(evhttp_request* response, ResponseId id) const;
 
   // Of the current request, or the last one.
   std::size_t written_bytes() const { return written_bytes_; }
@@ -86,7 +85,6 @@
   bool is_fully_written() const { return queued_bytes_ > 0 && written_bytes_ >= queued_bytes_; }
   dispatch::WriteProgress write_progress() const;
   int error() const { return error_; }  // evhttp_request_error of the response that failed, or -1
-  std::size_t request_count() const { return request_count_; }
 
   // Gives back what is reserved for the response as far as it has been received.
   void release_response_memory() { response_memory_.resize(0); }
--- a/tests/unit/backend/backend_fixture.h
+++ b/tests/unit/backend/backend_fixture.h
@@ -95,6 +95,10 @@
     return connection;
   }
   bool has_new_connection() const { return stand_ins::readable(listener_.fd, 0); }
+  // Writes what a connection that the client may have closed still takes.
+  static void write_if_open(const stand_ins::Peer& connection, const std::string& bytes) {
+    static_cast<void>(::send(connection.fd, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+  }
   // Turns until the client has closed the connection, without bytes of a further request.
   [[nodiscard]] bool await_close(const stand_ins::Peer& connection) {
     return turn_until([&] {
--- a/tests/unit/backend/framed_client_test.cpp
+++ b/tests/unit/backend/framed_client_test.cpp
@@ -57,9 +57,6 @@
     await_asked(*opened, text);
     return opened;
   }
-  static void write_if_open(const Peer& connection, const std::string& bytes) {
-    static_cast<void>(::send(connection.fd, bytes.data(), bytes.size(), MSG_NOSIGNAL));
-  }
   void settle() {
     for (int i = 0; i < 5; ++i) turn();
   }
--- a/tests/unit/backend/search_client_test.cpp
+++ b/tests/unit/backend/search_client_test.cpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "backend/opensearch/response_owner.h"
+#include "stand_ins/http_peer.h"
 #include "unit/backend/backend_fixture.h"
 
 namespace cairnhub::backend {
@@ -31,13 +32,7 @@
 struct ReceivedRequest {
   std::string head;
   std::string body;
-  std::string opaque_id() const {
-    const std::string field = "\r\nX-Opaque-Id: ";
-    const auto at = head.find(field);
-    if (at == std::string::npos) return "";
-    const auto begin = at + field.size();
-    return head.substr(begin, head.find("\r\n", begin) - begin);
-  }
+  std::string opaque_id() const { return stand_ins::header_field(head, kOpaqueIdHeader); }
 };
 
 std::string response(const std::string& body, const std::string& opaque_id, const char* status = "200 OK") {
@@ -167,9 +162,6 @@
     std::string bytes;
     std::string later;
   };
-  static void write_if_open(const Peer& connection, const std::string& bytes) {
-    static_cast<void>(::send(connection.fd, bytes.data(), bytes.size(), MSG_NOSIGNAL));
-  }
   void write_foreign(const Peer& connection, const Foreign& foreign) {
     write_if_open(connection, foreign.bytes);
     if (foreign.later.empty()) return;
