A new connection to discovery may bring an older list at once

Found on reading again. What a caller could see: an agent that closes its connection after an answer and is started anew with an older list has its first answer refused ("the list is older than one that came before it"), and is asked once more 50 ms later.

Cause: the revision is remembered for one connection, but the library reconnects under the same object after the agent has closed. Change: a connection that isn't up is replaced before a request, as one on which something has come. The look, which stood in SearchConnection as well, is is_quiet() in base/http_connection.h and serves both.

Test: cross_watch_anew.

--- a/src/backend/opensearch/search_connection.cpp
+++ b/src/backend/opensearch/search_connection.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/http_connection.h"
 #include "base/log.h"
 #include "base/sockets.h"
 
@@ -109,11 +110,7 @@
          evbuffer_get_length(bufferevent_get_input(evhttp_connection_get_bufferevent(http_))) > 0;
 }
 
-bool SearchConnection::is_reusable() const {
-  if (has_excess_input()) return false;
-  const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(http_));
-  return fd >= 0 && ready_events(fd, POLLIN | POLLRDHUP) == 0;
-}
+bool SearchConnection::is_reusable() const { return !has_unexpected_input_ && is_quiet(http_); }
 
 ResponseId SearchConnection::id_of(evhttp_request* response) const {
   return compare_response_id(*evhttp_request_get_input_headers(response), opaque_id_);
--- a/src/dispatch/discovery_watch.cpp
+++ b/src/dispatch/discovery_watch.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/clock.h"
+#include "base/http_connection.h"
 #include "base/sockets.h"
 
 namespace cairnhub::dispatch {
@@ -107,19 +108,11 @@
   connection_revision_ = 0;
 }
 
-bool DiscoveryWatch::has_excess_input() const {
-  bufferevent* bev = evhttp_connection_get_bufferevent(connection_);
-  if (evbuffer_get_length(bufferevent_get_input(bev)) > 0) return true;
-  const int fd = bufferevent_getfd(bev);
-  return fd >= 0 && ready_events(fd, POLLIN) != 0;
-}
-
 void DiscoveryWatch::request_list() {
   // The answer to a failed request may still arrive on its connection, and would be taken for the answer to
   // the new request.
   if (retry_delay_ > 0) stop();
-  // What came behind the last answer would be taken for the answer to this request.
-  if (connection_ && has_excess_input()) stop();
+  if (connection_ && !is_quiet(connection_)) stop();
   if (!connection_) {
     connection_ = evhttp_connection_base_bufferevent_new(base_, nullptr, nullptr, host_.c_str(), port_);
     if (!connection_) return next_request_.start(timing_.max_retry_delay);
--- a/src/dispatch/discovery_watch.h
+++ b/src/dispatch/discovery_watch.h
@@ -69,8 +69,6 @@
   static void on_input(evbuffer* input, const evbuffer_cb_info* info, void* self);
   void on_failure(const char* reason, LastRequest result = LastRequest::kFailed);
   const char* apply_answer(evhttp_request* request);  // returns what is wrong with the answer, or null
-  // Returns whether something has come on the connection behind the last answer, or the agent has closed it.
-  bool has_excess_input() const;
 
   event_base* base_;
   const DiscoveryWatchTiming timing_;
--- a/tests/crossings.cpp
+++ b/tests/crossings.cpp
@@ -119,6 +119,21 @@
   w.asked();
 }
 
+// An agent that closes its connection after an answer may have been started anew with an older list. The next
+// connection owes nothing to the one before: its list counts at once.
+void watch_anew() {
+  World w({.cells = 2, .replicas = 2});
+  w.ready();
+  w.asked();
+  const std::string fifth = w.list(5, true, "in_service");
+  w.watch->write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " + std::to_string(fifth.size()) +
+                 "\r\n\r\n" + fifth);
+  w.watch.reset();
+  w.asked();
+  w.tells(w.list(2, true, "in_service"));
+  w.asked();
+}
+
 void watch_cut_off() {  // an answer without a length is broken off by a reset: a reset is no end of a body
   World w({.cells = 2, .replicas = 2});
   w.ready();
@@ -644,6 +659,7 @@
       {"watch_endless", watch_endless},
       {"watch_returns", watch_returns},
       {"watch_copied", watch_copied},
+      {"watch_anew", watch_anew},
       {"watch_cut_off", watch_cut_off},
       {"watch_down", watch_down},
       {"watch_chunked", watch_chunked},
