framed_client: what three tests did alike stands once

The assertions are as before, and the later request is asked to have returned in the first test, too.

--- a/tests/unit/backend/framed_client_test.cpp
+++ b/tests/unit/backend/framed_client_test.cpp
@@ -57,6 +57,26 @@
     await_asked(*opened, text);
     return opened;
   }
+  std::unique_ptr<Peer> send_on_a_new_connection(Lookup& lookup) {
+    send(lookup);
+    auto connection = accept();
+    await_asked(*connection, lookup.request.body);
+    return connection;
+  }
+  // Sends another request of the name, then has the first one's result come on its connection: it is not the
+  // result of the other, which gets its own.
+  void expect_later_request_gets_its_own(Peer& first_connection) {
+    Lookup later(2, "q1.0", "later");
+    send(later);
+    auto other_connection = await_asked_elsewhere(first_connection, "later");
+    write_if_open(first_connection, result("q1.0", "made of first"));
+    settle();
+    EXPECT_FALSE(later.has_ended) << "got " << later.value;
+    other_connection->write(result("q1.0", "made of later"));
+    ASSERT_TRUE(await_end(later));
+    EXPECT_TRUE(later.is_returned());
+    EXPECT_EQ(later.value, "made of later");
+  }
   void settle() {
     for (int i = 0; i < 5; ++i) turn();
   }
@@ -78,59 +98,27 @@
 // second got the value made for the first.
 TEST_F(FramedClientTest, NameInFlightForAnotherRequestGoesToAnotherConnection) {
   Lookup first(1, "q1.0", "first");
-  send(first);
-  auto connection = accept();
-  await_asked(*connection, "first");
-  Lookup second(2, "q1.0", "second");
-  send(second);
-  auto other_connection = await_asked_elsewhere(*connection, "second");
-  connection->write(result("q1.0", "made of first"));
-  ASSERT_TRUE(await_end(first));
+  auto connection = send_on_a_new_connection(first);
+  expect_later_request_gets_its_own(*connection);
+  ASSERT_TRUE(first.has_ended);
   EXPECT_EQ(first.value, "made of first");
-  settle();
-  EXPECT_FALSE(second.has_ended) << "got " << second.value;
-  other_connection->write(result("q1.0", "made of second"));
-  ASSERT_TRUE(await_end(second));
-  EXPECT_EQ(second.value, "made of second");
 }
 
 // The first has been answered, and its result comes a second time. Once it was the second client's result.
 TEST_F(FramedClientTest, CopyOfAResultIsNotTheResultOfALaterRequestOfTheName) {
   Lookup first(1, "q1.0", "first");
-  send(first);
-  auto connection = accept();
-  await_asked(*connection, "first");
+  auto connection = send_on_a_new_connection(first);
   connection->write(result("q1.0", "made of first"));
   ASSERT_TRUE(await_end(first));
-  Lookup second(2, "q1.0", "second");
-  send(second);
-  auto other_connection = await_asked_elsewhere(*connection, "second");
-  write_if_open(*connection, result("q1.0", "made of first"));
-  settle();
-  EXPECT_FALSE(second.has_ended) << "got " << second.value;
-  other_connection->write(result("q1.0", "made of second"));
-  ASSERT_TRUE(await_end(second));
-  EXPECT_TRUE(second.is_returned());
-  EXPECT_EQ(second.value, "made of second");
+  expect_later_request_gets_its_own(*connection);
 }
 
 // The first has been cancelled, and its result crosses the cancel frame. Once the second failed for it.
 TEST_F(FramedClientTest, ResultOfACancelledRequestDoesNotFailALaterRequestOfTheName) {
   Lookup first(1, "q1.0", "first");
-  send(first);
-  auto connection = accept();
-  await_asked(*connection, "first");
+  auto connection = send_on_a_new_connection(first);
   client_.cancel(first.attempt);
-  Lookup second(2, "q1.0", "second");
-  send(second);
-  auto other_connection = await_asked_elsewhere(*connection, "second");
-  write_if_open(*connection, result("q1.0", "made of first"));
-  settle();
-  EXPECT_FALSE(second.has_ended);
-  other_connection->write(result("q1.0", "made of second"));
-  ASSERT_TRUE(await_end(second));
-  EXPECT_TRUE(second.is_returned());
-  EXPECT_EQ(second.value, "made of second");
+  expect_later_request_gets_its_own(*connection);
 }
 
 // Where no further connection may be opened, the attempt isn't sent; the endpoint is not at fault.
@@ -166,9 +154,7 @@
 // Names that differ share a connection, and so do attempts for one shard request.
 TEST_F(FramedClientTest, OtherNamesAndFurtherAttemptsShareTheConnection) {
   Lookup first(1, "q1.0", "first");
-  send(first);
-  auto connection = accept();
-  await_asked(*connection, "first");
+  auto connection = send_on_a_new_connection(first);
   Lookup other(2, "q2.0", "other");
   send(other);
   await_asked(*connection, "other");
